recorder: declare the events of forwarded requests

Cause: event 2301 was used without a name, so a daemon ended at the first entry. Ruled out: the store client, whose watch delivered the entry.

--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -37,4 +37,11 @@
 	RequestQuarantined: "request_quarantined",
 	SuspectsNotShared:  "suspects_not_shared",
 	OrderFailed:        "order_failed",
+	UpstreamListed:     "upstream_listed",
+	UpstreamGone:       "upstream_gone",
+	EntrySkipped:       "entry_skipped",
+	RequestRefused:     "request_refused",
+	AttemptFailed:      "attempt_failed",
+	AnswerBroken:       "answer_broken",
+	StreamResumed:      "stream_resumed",
 })
