apportioner: open and locked parts of grants, kept by leases

Change: a daemon spends an open part until its last lease must have ended; the next run gets the locked part back. Watches wait 1.5 s.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -13,7 +13,9 @@
 type account struct {
 	// granted is what the store has granted to this run, less what is being given
 	// back. Spent and reserved never exceed it together.
-	granted  contractor.Tokens
+	granted contractor.Tokens
+	// open is the part of granted that is spent while rounds succeed.
+	open     contractor.Tokens
 	spent    contractor.Tokens
 	reserved contractor.Tokens
 	// needed is what waiting requests lack.
@@ -23,7 +25,13 @@
 	demandAt time.Time
 }
 
-func (s *account) free() contractor.Tokens { return s.granted - s.spent - s.reserved }
+// free returns what can be reserved, with or without the locked part.
+func (s *account) free(unlocked bool) contractor.Tokens {
+	if unlocked {
+		return s.granted - s.spent - s.reserved
+	}
+	return min(s.open, s.granted) - s.spent - s.reserved
+}
 
 // ask adds a request to the demand.
 func (s *account) ask(now time.Time, tokens contractor.Tokens) {
@@ -73,14 +81,13 @@
 	}
 	s := a.account(name)
 	s.ask(a.config.Now(), most)
-	if s.free() >= most {
-		return a.reserve(s, most), nil
+	if s.free(a.unlocked()) < most {
+		a.await(ctx, name, s, most)
 	}
-	a.await(ctx, s, most)
-	if s.free() >= most {
-		return a.reserve(s, most), nil
+	if s.free(a.unlocked()) < most {
+		return nil, a.refusal(name, s, most)
 	}
-	return nil, a.refusal(name, s, most)
+	return a.reserve(s, most), nil
 }
 
 func (a *Apportioner) reserve(s *account, most contractor.Tokens) *Reservation {
@@ -89,8 +96,8 @@
 }
 
 // await waits, with the lock released, for rounds that bring what a request lacks.
-func (a *Apportioner) await(ctx context.Context, s *account, most contractor.Tokens) {
-	if a.unreachable() {
+func (a *Apportioner) await(ctx context.Context, name contractor.Account, s *account, most contractor.Tokens) {
+	if a.unreachable() || a.obtainable(name, s) < most {
 		return
 	}
 	s.needed += most
@@ -110,12 +117,24 @@
 			expired = true
 		}
 		a.mu.Lock()
-		if expired || s.free() >= most || a.unreachable() {
+		if expired || s.free(a.unlocked()) >= most || a.unreachable() || a.obtainable(name, s) < most {
 			return
 		}
 	}
 }
 
+// unlocked reports whether the locked parts may be spent.
+func (a *Apportioner) unlocked() bool {
+	return a.rounds.joined && a.config.Now().After(a.rounds.lockedUntil)
+}
+
+// obtainable is the most that a round can bring now, besides what other requests
+// have reserved or wait for.
+func (a *Apportioner) obtainable(name contractor.Account, s *account) contractor.Tokens {
+	inPool := max(a.bounds[name]-a.rounds.pool.sums(name).Granted, 0)
+	return s.granted - s.spent - s.reserved - s.needed + inPool
+}
+
 // unreachable reports whether rounds fail or get no answer.
 func (a *Apportioner) unreachable() bool {
 	r := &a.rounds
@@ -139,5 +158,5 @@
 		after = retryElsewhere
 	}
 	return refuser.New(refuser.BudgetUnreachable, "reserve").After(after).
-		Explain("the share of account %q here is %d tokens, the request may need %d", name, s.free(), most)
+		Explain("the share of account %q here is %d tokens, the request may need %d", name, s.free(a.unlocked()), most)
 }
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -42,6 +42,8 @@
 const (
 	poolKey   = "budget/pool"
 	rowPrefix = "budget/share/"
+	// alivePrefix is for the keys that last while a daemon's locked parts are untouched.
+	alivePrefix = "budget/alive/"
 )
 
 const (
@@ -68,8 +70,17 @@
 	// memberTimeout is after how long without a round a daemon's demand is left
 	// out. Cuts last about nine seconds.
 	memberTimeout = 20 * time.Second
-	// heartbeat is after how long a daemon writes a round without a change.
-	heartbeat = memberTimeout / 4
+
+	// leaseTime is how long after a round the locked parts stay locked. A killed
+	// daemon's last round is up to 1.3 s old, and it is back within about 2 s.
+	leaseTime = 3500 * time.Millisecond
+	// leaseMargin covers the store's delay in ending a lease and the drift of clocks.
+	leaseMargin = 300 * time.Millisecond
+	// clockTolerance is by how much the time of day may differ between two runs
+	// beyond leaseTime: the platform says close to true, with jumps of seconds.
+	clockTolerance = 1500 * time.Millisecond
+	// openTime is the demand that the open part covers, in seconds of it.
+	openTime = 3 * time.Second
 
 	// retryElsewhere is when a caller comes back that was refused because this
 	// daemon's share is used up while it is cut off: at once, as it gets to another
@@ -94,7 +105,7 @@
 }
 
 // defaultDealt is the part of a balance that is dealt out.
-const defaultDealt = 0.8
+const defaultDealt = 0.9
 
 // Apportioner holds the shares of one daemon. It is safe for concurrent use.
 type Apportioner struct {
@@ -123,8 +134,10 @@
 	joined       bool
 	leaving      bool
 	replaced     bool
-	// lastWrite is the time of the last acknowledged write.
-	lastWrite time.Time
+	// untouched is true when an earlier run did not spend its locked parts.
+	untouched bool
+	// lockedUntil is when the last lease has ended in any case.
+	lockedUntil time.Time
 	// asked is when the round under way began, or the zero time.
 	asked   time.Time
 	failing bool
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -27,11 +27,14 @@
 type row struct {
 	Incarnation contractor.Incarnation         `cbor:"incarnation"`
 	Accounts    map[contractor.Account]holding `cbor:"accounts"`
+	// Stamp is the time of day of the round, in milliseconds since 1970.
+	Stamp int64 `cbor:"stamp"`
 }
 
 // holding is one account in a row.
 type holding struct {
 	Granted contractor.Tokens `cbor:"granted"`
+	Open    contractor.Tokens `cbor:"open"`
 	Spent   contractor.Tokens `cbor:"spent"`
 	Demand  float32           `cbor:"demand"`
 }
@@ -67,16 +70,22 @@
 	r.Accounts[name] = to
 }
 
-// takeOver makes the row of an earlier run, of which nobody knows what it spent
-// last, that of this run. All it was granted counts as spent. It returns what was lost.
-func (p *pool) takeOver(old row, incarnation contractor.Incarnation) (row, contractor.Tokens) {
+// takeOver makes the row of an earlier run that of this run. What the earlier run
+// may have spent since its last round counts as spent: the open parts, and the
+// locked ones too unless they are known to be untouched. It returns what was lost.
+func (p *pool) takeOver(old row, incarnation contractor.Incarnation, untouched bool) (row, contractor.Tokens) {
 	lost := contractor.Tokens(0)
 	for name, h := range old.Accounts {
+		bound := h.Granted
+		if untouched {
+			bound = min(h.Open, h.Granted)
+		}
 		s := p.Accounts[name]
-		lost += h.Granted - h.Spent
-		s.Spent += h.Granted - h.Spent
+		s.Granted -= h.Granted - bound
+		s.Spent += bound - h.Spent
 		s.Demand = max(s.Demand-h.Demand, 0)
 		p.Accounts[name] = s
+		lost += bound - h.Spent
 	}
 	return row{Incarnation: incarnation, Accounts: make(map[contractor.Account]holding)}, lost
 }
@@ -122,6 +131,12 @@
 	return q.Granted
 }
 
+// openPart returns up to where the daemon's row lets it spend while rounds succeed.
+func (q *position) openPart() contractor.Tokens {
+	slice := contractor.Tokens(float64(q.Demand) * openTime.Seconds())
+	return min(q.Granted, q.Spent+q.reserved+q.needed+slice)
+}
+
 // target is the share of what is left that the daemon holds in calm times.
 func (q *position) target(s sums) contractor.Tokens {
 	left := max(q.prepaid-s.Spent, 0)
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -75,7 +75,7 @@
 	if err != nil && !r.failing {
 		a.config.Recorder.Event(recorder.SharesUnreachable, "round", r.number, "err", err)
 	}
-	r.failing = err != nil
+	r.failing = err != nil && !errors.Is(err, persister.ErrConflict)
 	close(a.served)
 	a.served = make(chan struct{})
 }
@@ -96,8 +96,8 @@
 		if err := a.forgetSilent(ctx); err != nil {
 			return err
 		}
-		p, due, err := a.propose()
-		if err != nil || !due {
+		p, err := a.propose()
+		if err != nil {
 			return err
 		}
 		err = a.commit(ctx, p)
@@ -126,7 +126,30 @@
 	if err != nil {
 		return err
 	}
-	return a.adopt(mine, shared)
+	if err := a.adopt(mine, shared); err != nil {
+		return err
+	}
+	return a.findAlive(ctx)
+}
+
+// findAlive looks, before this run has a row, whether the locked parts of an
+// earlier run are untouched.
+func (a *Apportioner) findAlive(ctx context.Context) error {
+	a.mu.Lock()
+	old := a.rounds.row
+	a.mu.Unlock()
+	if old.Incarnation == 0 || old.Incarnation == a.config.Incarnation {
+		return nil
+	}
+	alive, err := a.config.Store.Get(ctx, alivePrefix+a.config.Name)
+	if err != nil {
+		return err
+	}
+	elapsed := a.config.Now().Sub(time.UnixMilli(old.Stamp)).Abs()
+	a.mu.Lock()
+	a.rounds.untouched = alive.Revision > 0 && elapsed < leaseTime+clockTolerance
+	a.mu.Unlock()
+	return nil
 }
 
 // adopt takes the store's state over.
@@ -164,8 +187,7 @@
 	// A write whose outcome is unknown may still take effect and give tokens back,
 	// so only an acknowledged write raises what may be spent.
 	for name, h := range r.row.Accounts {
-		s := a.account(name)
-		s.granted = min(s.granted, h.Granted)
+		a.account(name).lower(h)
 	}
 	return nil
 }
@@ -195,13 +217,13 @@
 }
 
 // propose plans a round. What is given back is not spent from here on.
-func (a *Apportioner) propose() (*proposal, bool, error) {
+func (a *Apportioner) propose() (*proposal, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := &a.rounds
 	p := &proposal{pool: r.pool.clone(), row: r.row.clone()}
 	if r.row.Incarnation != a.config.Incarnation {
-		p.row, p.lost = p.pool.takeOver(r.row, a.config.Incarnation)
+		p.row, p.lost = p.pool.takeOver(r.row, a.config.Incarnation, r.untouched)
 		p.joined = true
 	}
 	r.number++
@@ -210,28 +232,27 @@
 	} else {
 		p.pool.Members[a.config.Name] = r.number
 	}
-	changed := a.planAccounts(p)
-	// A write now and then shows the others that the daemon lives, and shows the
-	// daemon that the store does.
-	due := changed || p.joined || r.leaving || !r.joined || r.failing ||
-		a.config.Now().Sub(r.lastWrite) >= heartbeat
-	if !due {
-		return nil, false, nil
-	}
+	a.planAccounts(p)
+	p.row.Stamp = a.config.Now().UnixMilli()
 	if err := p.encode(a.config.Name, r); err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	for name, h := range p.row.Accounts {
-		s := a.account(name)
-		s.granted = min(s.granted, h.Granted)
+		a.account(name).lower(h)
 	}
 	r.known = false
-	return p, true, nil
+	return p, nil
+}
+
+// lower follows a holding down, never up.
+func (s *account) lower(h holding) {
+	s.granted = min(s.granted, h.Granted)
+	s.open = min(s.open, h.Open)
 }
 
-// planAccounts plans each account and reports whether anything is worth a write.
-func (a *Apportioner) planAccounts(p *proposal) bool {
-	now, changed := a.config.Now(), false
+// planAccounts plans each account.
+func (a *Apportioner) planAccounts(p *proposal) {
+	now := a.config.Now()
 	for name, s := range a.accounts {
 		prepaid, bounded := a.bounds[name]
 		if !bounded {
@@ -253,10 +274,10 @@
 			members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
 		}
 		next.Granted = q.grant(p.pool.sums(name))
+		q.Granted = next.Granted
+		next.Open = q.openPart()
 		p.pool.apply(&p.row, name, next)
-		changed = changed || next != old
 	}
-	return changed
 }
 
 func (p *proposal) encode(name string, r *roundState) error {
@@ -278,6 +299,9 @@
 // commit writes a proposal. After an uncertain outcome the next round reads the
 // store again, and its own write then excludes that this one takes effect late.
 func (a *Apportioner) commit(ctx context.Context, p *proposal) error {
+	if err := a.lease(ctx, p); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	revision, err := a.config.Store.Commit(ctx, p.txn)
@@ -296,9 +320,9 @@
 	r := &a.rounds
 	r.pool, r.row, r.poolRevision, r.rowRevision = p.pool, p.row, revision, revision
 	r.known, r.joined = true, true
-	r.lastWrite = a.config.Now()
 	for name, h := range p.row.Accounts {
-		a.account(name).granted = h.Granted
+		s := a.account(name)
+		s.granted, s.open = h.Granted, h.Open
 	}
 	a.sight()
 	if p.joined {
@@ -310,6 +334,23 @@
 	return nil
 }
 
+// lease puts the key of the locked parts into a proposal, under a new lease. A
+// renewal could take effect late and prolong the key's life, a new lease cannot:
+// its time runs from before its answer.
+func (a *Apportioner) lease(ctx context.Context, p *proposal) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	id, err := a.config.Store.GrantLease(ctx, leaseTime)
+	if err != nil {
+		return err
+	}
+	p.txn.Puts = append(p.txn.Puts, persister.Put{Key: alivePrefix + a.config.Name, Value: []byte(a.config.Name), Lease: id})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rounds.lockedUntil = a.config.Now().Add(leaseTime + leaseMargin)
+	return nil
+}
+
 // forgetSilent takes daemons out of the pool that have made no round for long.
 func (a *Apportioner) forgetSilent(ctx context.Context) error {
 	a.mu.Lock()
--- a/cmd/laburnumline/launch.go
+++ b/cmd/laburnumline/launch.go
@@ -23,9 +23,10 @@
 	storeSilenceTime = time.Second
 	// storeCallTime bounds a call; a slow store takes up to 100 times as long as usual.
 	storeCallTime = 1500 * time.Millisecond
-	// storeWatchTime is how long a watch waits. Probes of the connection find a
-	// silent one earlier.
-	storeWatchTime = 10 * time.Second
+	// storeWatchTime is how long a watch waits. A store that has dropped its history
+	// tells a waiting watch nothing, and a change has to be in force within 2 s.
+
+	storeWatchTime = 1500 * time.Millisecond
 
 	// collectPercent lets the heap grow before it is collected: processor time is
 	// scarcer than memory, which collectShare bounds.
