--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -47,14 +47,21 @@
 )
 
 const (
-	// roundInterval is the time between two rounds of a small fleet. Half of a
-	// zone's demand can move to another daemon within a second.
-	roundInterval = time.Second
-	// roundPerMember bounds the writes to the pool, whose transactions exclude each
-	// other: with an answer in 4 ms, one in 25 ms leaves most of them alone.
-	roundPerMember = 25 * time.Millisecond
+	// roundInterval is the time between two rounds that settle the daemon's own row.
+	roundInterval = 1100 * time.Millisecond
+	// dealInterval is the time between two rounds that deal anew. Half of a zone's
+	// demand can move to another daemon within a second, and cuts last nine.
+	dealInterval = 2500 * time.Millisecond
+	// dealPerMember bounds the writes to the pool, whose transactions exclude each
+	// other: with an answer in 4 ms, one in 60 ms leaves most of them alone.
+	dealPerMember = 60 * time.Millisecond
+	// urgentDeal is the shortest time between two rounds that deal because a share
+	// is used up.
+	urgentDeal = 400 * time.Millisecond
 	// kickInterval is the shortest time between two rounds.
-	kickInterval = 60 * time.Millisecond
+	kickInterval = 100 * time.Millisecond
+	// conflictPause is the mean wait after a conflict; it grows with each one.
+	conflictPause = 5 * time.Millisecond
 	// reserveWait is how long a request waits for a round that brings tokens. A
 	// round takes two calls of 4 ms; the objectives begin at 500 ms.
 	reserveWait = 250 * time.Millisecond
@@ -81,6 +88,9 @@
 	clockTolerance = 1500 * time.Millisecond
 	// openTime is the demand that the open part covers, in seconds of it.
 	openTime = 3 * time.Second
+	// firstRequest is the size of a request that the open part covers before the
+	// daemon has seen one, in tokens.
+	firstRequest = 16_000
 
 	// retryElsewhere is when a caller comes back that was refused because this
 	// daemon's share is used up while it is cut off: at once, as it gets to another
@@ -136,6 +146,8 @@
 	replaced     bool
 	// untouched is true when an earlier run did not spend its locked parts.
 	untouched bool
+	// dealtAt and leasedAt are when the daemon last dealt and last got a lease.
+	dealtAt, leasedAt time.Time
 	// lockedUntil is when the last lease has ended in any case.
 	lockedUntil time.Time
 	// asked is when the round under way began, or the zero time.
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -31,11 +31,13 @@
 	Stamp int64 `cbor:"stamp"`
 }
 
-// holding is one account in a row.
+// holding is one account in a row. Settled and Demand are as the pool counts them;
+// Spent may be newer.
 type holding struct {
 	Granted contractor.Tokens `cbor:"granted"`
 	Open    contractor.Tokens `cbor:"open"`
 	Spent   contractor.Tokens `cbor:"spent"`
+	Settled contractor.Tokens `cbor:"settled"`
 	Demand  float32           `cbor:"demand"`
 }
 
@@ -60,11 +62,12 @@
 	return c
 }
 
-// apply changes a holding and the sums together.
+// apply changes a holding and the sums together, and settles what was spent.
 func (p *pool) apply(r *row, name contractor.Account, to holding) {
 	from, s := r.Accounts[name], p.Accounts[name]
+	to.Settled = to.Spent
 	s.Granted += to.Granted - from.Granted
-	s.Spent += to.Spent - from.Spent
+	s.Spent += to.Settled - from.Settled
 	s.Demand = max(s.Demand+to.Demand-from.Demand, 0)
 	p.Accounts[name] = s
 	r.Accounts[name] = to
@@ -82,7 +85,7 @@
 		}
 		s := p.Accounts[name]
 		s.Granted -= h.Granted - bound
-		s.Spent += bound - h.Spent
+		s.Spent += bound - h.Settled
 		s.Demand = max(s.Demand-h.Demand, 0)
 		p.Accounts[name] = s
 		lost += bound - h.Spent
@@ -106,9 +109,11 @@
 	holding
 	reserved, needed contractor.Tokens
 	prepaid          contractor.Tokens
-	members          int
-	dealt            float64
-	leaving          bool
+	// rate and largest are the demand per second and the largest request of late.
+	rate, largest float64
+	members       int
+	dealt         float64
+	leaving       bool
 }
 
 // grant returns what the daemon's row shall grant, given the sums that already
@@ -133,7 +138,7 @@
 
 // openPart returns up to where the daemon's row lets it spend while rounds succeed.
 func (q *position) openPart() contractor.Tokens {
-	slice := contractor.Tokens(float64(q.Demand) * openTime.Seconds())
+	slice := contractor.Tokens(max(q.rate*openTime.Seconds(), q.largest))
 	return min(q.Granted, q.Spent+q.reserved+q.needed+slice)
 }
 
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -43,8 +42,7 @@
 }
 
 func (a *Apportioner) interval() time.Duration {
-	mean := max(roundInterval, time.Duration(a.Members())*roundPerMember)
-	return mean*3/4 + rand.N(mean/2)
+	return roundInterval*3/4 + rand.N(roundInterval/2)
 }
 
 // pause waits and reports whether ctx goes on.
@@ -89,7 +87,7 @@
 }
 
 func (a *Apportioner) tries(ctx context.Context) error {
-	for range maxTries {
+	for try := range maxTries {
 		if err := a.refresh(ctx); err != nil {
 			return err
 		}
@@ -104,6 +102,9 @@
 		if !errors.Is(err, persister.ErrConflict) {
 			return err
 		}
+		if !pause(ctx, rand.N(time.Duration(try+1)*2*conflictPause)) {
+			return ctx.Err()
+		}
 	}
 	return fmt.Errorf("round: %w in %d transactions", persister.ErrConflict, maxTries)
 }
@@ -132,6 +133,11 @@
 	return a.findAlive(ctx)
 }
 
+// aliveKey is the key of the locked parts of one run.
+func (a *Apportioner) aliveKey(run contractor.Incarnation) string {
+	return fmt.Sprintf("%s%s/%x", alivePrefix, a.config.Name, uint64(run))
+}
+
 // findAlive looks, before this run has a row, whether the locked parts of an
 // earlier run are untouched.
 func (a *Apportioner) findAlive(ctx context.Context) error {
@@ -141,7 +147,7 @@
 	if old.Incarnation == 0 || old.Incarnation == a.config.Incarnation {
 		return nil
 	}
-	alive, err := a.config.Store.Get(ctx, alivePrefix+a.config.Name)
+	alive, err := a.config.Store.Get(ctx, a.aliveKey(old.Incarnation))
 	if err != nil {
 		return err
 	}
@@ -207,8 +213,10 @@
 	}
 }
 
-// proposal is a change of pool and row.
+// proposal is a change of the row and, when it deals, of the pool.
 type proposal struct {
+	deals  bool
+	leases bool
 	pool   pool
 	row    row
 	joined bool
@@ -220,8 +228,49 @@
 func (a *Apportioner) propose() (*proposal, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	r, now := &a.rounds, a.config.Now()
+	p := &proposal{row: r.row.clone(), deals: a.dealDue(now), leases: now.Sub(r.leasedAt) >= roundInterval/2}
+	if p.deals {
+		p.pool = r.pool.clone()
+		a.planMembers(p)
+	}
+	a.planAccounts(p, now)
+	p.row.Stamp = now.UnixMilli()
+	if err := p.encode(a.config.Name, r); err != nil {
+		return nil, err
+	}
+	for name, h := range p.row.Accounts {
+		a.account(name).lower(h)
+	}
+	r.known = false
+	return p, nil
+}
+
+// dealDue reports whether the next round changes the pool: from time to time, and
+// when a share is used up.
+func (a *Apportioner) dealDue(now time.Time) bool {
+	r := &a.rounds
+	since := now.Sub(r.dealtAt)
+	if !r.joined || r.leaving || r.row.Incarnation != a.config.Incarnation {
+		return true
+	}
+	if since >= max(dealInterval, time.Duration(len(r.pool.Members))*dealPerMember) {
+		return true
+	}
+	if since < urgentDeal {
+		return false
+	}
+	for _, s := range a.accounts {
+		if s.needed > 0 && s.needed > s.granted-s.spent-s.reserved {
+			return true
+		}
+	}
+	return false
+}
+
+// planMembers takes the row of an earlier run over and counts the round.
+func (a *Apportioner) planMembers(p *proposal) {
 	r := &a.rounds
-	p := &proposal{pool: r.pool.clone(), row: r.row.clone()}
 	if r.row.Incarnation != a.config.Incarnation {
 		p.row, p.lost = p.pool.takeOver(r.row, a.config.Incarnation, r.untouched)
 		p.joined = true
@@ -232,16 +281,6 @@
 	} else {
 		p.pool.Members[a.config.Name] = r.number
 	}
-	a.planAccounts(p)
-	p.row.Stamp = a.config.Now().UnixMilli()
-	if err := p.encode(a.config.Name, r); err != nil {
-		return nil, err
-	}
-	for name, h := range p.row.Accounts {
-		a.account(name).lower(h)
-	}
-	r.known = false
-	return p, nil
 }
 
 // lower follows a holding down, never up.
@@ -250,57 +289,63 @@
 	s.open = min(s.open, h.Open)
 }
 
-// planAccounts plans each account.
-func (a *Apportioner) planAccounts(p *proposal) {
-	now := a.config.Now()
+// planAccounts plans each account: what was spent, what is open, and when the round
+// deals what is granted.
+func (a *Apportioner) planAccounts(p *proposal, now time.Time) {
 	for name, s := range a.accounts {
-		prepaid, bounded := a.bounds[name]
-		if !bounded {
-			prepaid = 0 // an account that lost its bound gives its share back
-		}
-		old := p.row.Accounts[name]
-		next := old
+		next := p.row.Accounts[name]
 		next.Spent = s.spent
-		next.Demand = float32(s.demandNow(now))
-		if a.rounds.leaving {
-			next.Demand = 0
-		}
-		if math.Abs(float64(next.Demand-old.Demand)) < minDemandChange*float64(old.Demand) {
-			next.Demand = old.Demand
-		}
-		p.pool.apply(&p.row, name, next)
 		q := position{
-			holding: next, reserved: s.reserved, needed: s.needed, prepaid: prepaid,
-			members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
+			holding: next, reserved: s.reserved, needed: s.needed, rate: s.demandNow(now), largest: s.largestNow(now),
+			// An account that lost its bound has none here, and gives its share back.
+			prepaid: a.bounds[name], members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
+		}
+		if p.deals {
+			next.Demand = float32(q.rate)
+			if a.rounds.leaving {
+				next.Demand = 0
+			}
+			q.Demand = next.Demand
+			p.pool.apply(&p.row, name, next)
+			next = p.row.Accounts[name]
+			next.Granted = q.grant(p.pool.sums(name))
+			q.Granted = next.Granted
 		}
-		next.Granted = q.grant(p.pool.sums(name))
-		q.Granted = next.Granted
 		next.Open = q.openPart()
-		p.pool.apply(&p.row, name, next)
+		if p.deals {
+			p.pool.apply(&p.row, name, next)
+		} else {
+			p.row.Accounts[name] = next
+		}
 	}
 }
 
 func (p *proposal) encode(name string, r *roundState) error {
-	shared, err := cbor.Marshal(p.pool)
-	if err != nil {
-		return fmt.Errorf("encode pool: %w", err)
-	}
 	own, err := cbor.Marshal(p.row)
 	if err != nil {
 		return fmt.Errorf("encode row: %w", err)
 	}
-	p.txn = persister.Txn{
-		Compares: []persister.Compare{{Key: poolKey, Revision: r.poolRevision}, {Key: rowPrefix + name, Revision: r.rowRevision}},
-		Puts:     []persister.Put{{Key: poolKey, Value: shared}, {Key: rowPrefix + name, Value: own}},
+	p.txn.Compares = []persister.Compare{{Key: rowPrefix + name, Revision: r.rowRevision}}
+	p.txn.Puts = []persister.Put{{Key: rowPrefix + name, Value: own}}
+	if !p.deals {
+		return nil
+	}
+	shared, err := cbor.Marshal(p.pool)
+	if err != nil {
+		return fmt.Errorf("encode pool: %w", err)
 	}
+	p.txn.Compares = append(p.txn.Compares, persister.Compare{Key: poolKey, Revision: r.poolRevision})
+	p.txn.Puts = append(p.txn.Puts, persister.Put{Key: poolKey, Value: shared})
 	return nil
 }
 
 // commit writes a proposal. After an uncertain outcome the next round reads the
 // store again, and its own write then excludes that this one takes effect late.
 func (a *Apportioner) commit(ctx context.Context, p *proposal) error {
-	if err := a.lease(ctx, p); err != nil {
-		return err
+	if p.leases {
+		if err := a.lease(ctx, p); err != nil {
+			return err
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -318,7 +363,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := &a.rounds
-	r.pool, r.row, r.poolRevision, r.rowRevision = p.pool, p.row, revision, revision
+	r.row, r.rowRevision = p.row, revision
+	if p.deals {
+		r.pool, r.poolRevision, r.dealtAt = p.pool, revision, a.config.Now()
+	}
 	r.known, r.joined = true, true
 	for name, h := range p.row.Accounts {
 		s := a.account(name)
@@ -344,10 +392,11 @@
 	if err != nil {
 		return err
 	}
-	p.txn.Puts = append(p.txn.Puts, persister.Put{Key: alivePrefix + a.config.Name, Value: []byte(a.config.Name), Lease: id})
+	p.txn.Puts = append(p.txn.Puts, persister.Put{Key: a.aliveKey(a.config.Incarnation), Value: []byte(a.config.Name), Lease: id})
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.rounds.lockedUntil = a.config.Now().Add(leaseTime + leaseMargin)
+	now := a.config.Now()
+	a.rounds.leasedAt, a.rounds.lockedUntil = now, now.Add(leaseTime+leaseMargin)
 	return nil
 }
 
