apportioner: a restarted daemon goes on with its own row

Cause: after the end's kill every daemon read and wrote the pool at once, and open parts covered the largest request of each account: 0.7 M tokens lost a daemon. Change: the next run takes the row over without the pool; open parts cover 2.8 s.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -23,8 +23,6 @@
 	// demand is the average of tokens asked for per second, as of demandAt.
 	demand   float64
 	demandAt time.Time
-	// largest is the largest request of late, in tokens; it shrinks like the demand.
-	largest float64
 }
 
 // free returns what can be reserved, with or without the locked part.
@@ -37,18 +35,10 @@
 
 // ask adds a request to the demand.
 func (s *account) ask(now time.Time, tokens contractor.Tokens) {
-	s.largest = max(s.largestNow(now), float64(tokens))
 	s.demand = s.demandNow(now) + float64(tokens)/demandTime.Seconds()
 	s.demandAt = now
 }
 
-func (s *account) largestNow(now time.Time) float64 {
-	if s.demandAt.IsZero() {
-		return firstRequest
-	}
-	return s.largest * s.fade(now)
-}
-
 func (s *account) demandNow(now time.Time) float64 {
 	if s.demandAt.IsZero() {
 		return 0
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -48,7 +48,7 @@
 
 const (
 	// roundInterval is the time between two rounds that settle the daemon's own row.
-	roundInterval = 1100 * time.Millisecond
+	roundInterval = 800 * time.Millisecond
 	// dealInterval is the time between two rounds that deal anew. Half of a zone's
 	// demand can move to another daemon within a second, and cuts last nine.
 	dealInterval = 2500 * time.Millisecond
@@ -79,18 +79,18 @@
 	memberTimeout = 20 * time.Second
 
 	// leaseTime is how long after a round the locked parts stay locked. A killed
-	// daemon's last round is up to 1.3 s old, and it is back within about 2 s.
-	leaseTime = 3500 * time.Millisecond
+	// daemon's last round is up to 1 s old, and it is back within about 1.8 s.
+	leaseTime = 2800 * time.Millisecond
 	// leaseMargin covers the store's delay in ending a lease and the drift of clocks.
 	leaseMargin = 300 * time.Millisecond
 	// clockTolerance is by how much the time of day may differ between two runs
 	// beyond leaseTime: the platform says close to true, with jumps of seconds.
 	clockTolerance = 1500 * time.Millisecond
-	// openTime is the demand that the open part covers, in seconds of it.
-	openTime = 3 * time.Second
-	// firstRequest is the size of a request that the open part covers before the
-	// daemon has seen one, in tokens.
-	firstRequest = 16_000
+	// openTime is how long the open part covers the demand: until the locked part
+	// can be spent.
+	openTime = leaseTime
+	// leastOpen is the least open part in tokens: some short requests.
+	leastOpen = 6000
 
 	// retryElsewhere is when a caller comes back that was refused because this
 	// daemon's share is used up while it is cut off: at once, as it gets to another
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -73,24 +73,23 @@
 	r.Accounts[name] = to
 }
 
-// takeOver makes the row of an earlier run that of this run. What the earlier run
-// may have spent since its last round counts as spent: the open parts, and the
-// locked ones too unless they are known to be untouched. It returns what was lost.
-func (p *pool) takeOver(old row, incarnation contractor.Incarnation, untouched bool) (row, contractor.Tokens) {
+// takeOver makes the row of an earlier run that of this run, which goes on with the
+// same grants. What the earlier run may have spent since its last round counts as
+// spent: the open parts, and the locked ones too unless they are known to be
+// untouched. It returns what was lost.
+func (r *row) takeOver(incarnation contractor.Incarnation, untouched bool) contractor.Tokens {
 	lost := contractor.Tokens(0)
-	for name, h := range old.Accounts {
+	for name, h := range r.Accounts {
 		bound := h.Granted
 		if untouched {
 			bound = min(h.Open, h.Granted)
 		}
-		s := p.Accounts[name]
-		s.Granted -= h.Granted - bound
-		s.Spent += bound - h.Settled
-		s.Demand = max(s.Demand-h.Demand, 0)
-		p.Accounts[name] = s
 		lost += bound - h.Spent
+		h.Spent = bound
+		r.Accounts[name] = h
 	}
-	return row{Incarnation: incarnation, Accounts: make(map[contractor.Account]holding)}, lost
+	r.Incarnation = incarnation
+	return lost
 }
 
 const (
@@ -109,11 +108,10 @@
 	holding
 	reserved, needed contractor.Tokens
 	prepaid          contractor.Tokens
-	// rate and largest are the demand per second and the largest request of late.
-	rate, largest float64
-	members       int
-	dealt         float64
-	leaving       bool
+	rate             float64 // demand in tokens per second
+	members          int
+	dealt            float64
+	leaving          bool
 }
 
 // grant returns what the daemon's row shall grant, given the sums that already
@@ -138,7 +136,7 @@
 
 // openPart returns up to where the daemon's row lets it spend while rounds succeed.
 func (q *position) openPart() contractor.Tokens {
-	slice := contractor.Tokens(max(q.rate*openTime.Seconds(), q.largest))
+	slice := contractor.Tokens(max(q.rate*openTime.Seconds(), leastOpen))
 	return min(q.Granted, q.Spent+q.reserved+q.needed+slice)
 }
 
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -230,11 +230,15 @@
 	defer a.mu.Unlock()
 	r, now := &a.rounds, a.config.Now()
 	p := &proposal{row: r.row.clone(), deals: a.dealDue(now), leases: now.Sub(r.leasedAt) >= roundInterval/2}
-	if p.deals {
-		p.pool = r.pool.clone()
-		a.planMembers(p)
+	if r.row.Incarnation != a.config.Incarnation {
+		a.planTakeOver(p)
+	} else {
+		if p.deals {
+			p.pool = r.pool.clone()
+			a.planMembers(p)
+		}
+		a.planAccounts(p, now)
 	}
-	a.planAccounts(p, now)
 	p.row.Stamp = now.UnixMilli()
 	if err := p.encode(a.config.Name, r); err != nil {
 		return nil, err
@@ -246,12 +250,23 @@
 	return p, nil
 }
 
+// planTakeOver begins this run's row with the grants of the run before. It is written
+// without the pool, so that a fleet that starts at once does not wait for itself.
+func (a *Apportioner) planTakeOver(p *proposal) {
+	p.deals, p.joined = false, true
+	p.lost = p.row.takeOver(a.config.Incarnation, a.rounds.untouched)
+	for name, h := range p.row.Accounts {
+		h.Open = min(h.Granted, h.Spent+leastOpen)
+		p.row.Accounts[name] = h
+	}
+}
+
 // dealDue reports whether the next round changes the pool: from time to time, and
 // when a share is used up.
 func (a *Apportioner) dealDue(now time.Time) bool {
 	r := &a.rounds
 	since := now.Sub(r.dealtAt)
-	if !r.joined || r.leaving || r.row.Incarnation != a.config.Incarnation {
+	if r.leaving || r.dealtAt.IsZero() {
 		return true
 	}
 	if since >= max(dealInterval, time.Duration(len(r.pool.Members))*dealPerMember) {
@@ -268,13 +283,9 @@
 	return false
 }
 
-// planMembers takes the row of an earlier run over and counts the round.
+// planMembers counts the round in the pool.
 func (a *Apportioner) planMembers(p *proposal) {
 	r := &a.rounds
-	if r.row.Incarnation != a.config.Incarnation {
-		p.row, p.lost = p.pool.takeOver(r.row, a.config.Incarnation, r.untouched)
-		p.joined = true
-	}
 	r.number++
 	if r.leaving {
 		delete(p.pool.Members, a.config.Name)
@@ -296,7 +307,7 @@
 		next := p.row.Accounts[name]
 		next.Spent = s.spent
 		q := position{
-			holding: next, reserved: s.reserved, needed: s.needed, rate: s.demandNow(now), largest: s.largestNow(now),
+			holding: next, reserved: s.reserved, needed: s.needed, rate: s.demandNow(now),
 			// An account that lost its bound has none here, and gives its share back.
 			prepaid: a.bounds[name], members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
 		}
@@ -371,10 +382,14 @@
 	for name, h := range p.row.Accounts {
 		s := a.account(name)
 		s.granted, s.open = h.Granted, h.Open
+		if p.joined {
+			s.spent += h.Spent
+		}
 	}
 	a.sight()
 	if p.joined {
-		a.config.Recorder.Event(recorder.ShareTaken, "vm", a.config.Name, "members", len(p.pool.Members), "revision", revision)
+		a.config.Recorder.Event(recorder.ShareTaken, "vm", a.config.Name, "untouched", r.untouched, "revision", revision)
+		a.kick()
 	}
 	if p.lost > 0 {
 		a.config.Recorder.Event(recorder.SharesLost, "vm", a.config.Name, "tokens", p.lost)
