apportioner: keep the stamp of a row, small open parts

Cause: every daemon counted all it had held as lost after a restart (1.8 M tokens at one), because a copied row lost its stamp and the time of day seemed to be 1970. Ruled out: leases, which the trace showed alive (revision 1134 found). Change: the stamp is copied; open parts are at most 6% of a share, so that what a kill costs stays under what an account may miss; shares under one request go back.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -96,6 +96,9 @@
 
 func (a *Apportioner) reserve(s *account, most contractor.Tokens) *Reservation {
 	s.reserved += most
+	if !a.unlocked() && s.free(false) < most {
+		a.kick() // the open part is nearly used up
+	}
 	return &Reservation{apportioner: a, account: s, most: most}
 }
 
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -48,7 +48,7 @@
 
 const (
 	// roundInterval is the time between two rounds that settle the daemon's own row.
-	roundInterval = 800 * time.Millisecond
+	roundInterval = 600 * time.Millisecond
 	// dealInterval is the time between two rounds that deal anew. Half of a zone's
 	// demand can move to another daemon within a second, and cuts last nine.
 	dealInterval = 2500 * time.Millisecond
@@ -57,7 +57,7 @@
 	dealPerMember = 60 * time.Millisecond
 	// urgentDeal is the shortest time between two rounds that deal because a share
 	// is used up.
-	urgentDeal = 400 * time.Millisecond
+	urgentDeal = 150 * time.Millisecond
 	// kickInterval is the shortest time between two rounds.
 	kickInterval = 100 * time.Millisecond
 	// conflictPause is the mean wait after a conflict; it grows with each one.
@@ -79,8 +79,8 @@
 	memberTimeout = 20 * time.Second
 
 	// leaseTime is how long after a round the locked parts stay locked. A killed
-	// daemon's last round is up to 1 s old, and it is back within about 1.8 s.
-	leaseTime = 2800 * time.Millisecond
+	// daemon's last round is up to 0.8 s old, and it is back within about 1.5 s.
+	leaseTime = 2400 * time.Millisecond
 	// leaseMargin covers the store's delay in ending a lease and the drift of clocks.
 	leaseMargin = 300 * time.Millisecond
 	// clockTolerance is by how much the time of day may differ between two runs
@@ -89,8 +89,14 @@
 	// openTime is how long the open part covers the demand: until the locked part
 	// can be spent.
 	openTime = leaseTime
-	// leastOpen is the least open part in tokens: some short requests.
-	leastOpen = 6000
+	// openShare bounds the open part, as a part of what the daemon holds. What a
+	// killed daemon had open is lost: so little that the account still gets nearly
+	// all that it has paid for.
+	openShare = 0.06
+	// leastShare is the least share in tokens that a daemon holds without a request
+	// that needs it, about one request of middling length. Smaller ones are left in
+	// the pool, where any daemon can use them.
+	leastShare = 12_000
 
 	// retryElsewhere is when a caller comes back that was refused because this
 	// daemon's share is used up while it is cut off: at once, as it gets to another
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -55,7 +55,7 @@
 }
 
 func (r *row) clone() row {
-	c := row{Incarnation: r.Incarnation, Accounts: maps.Clone(r.Accounts)}
+	c := row{Incarnation: r.Incarnation, Accounts: maps.Clone(r.Accounts), Stamp: r.Stamp}
 	if c.Accounts == nil {
 		c.Accounts = make(map[contractor.Account]holding)
 	}
@@ -136,7 +136,8 @@
 
 // openPart returns up to where the daemon's row lets it spend while rounds succeed.
 func (q *position) openPart() contractor.Tokens {
-	slice := contractor.Tokens(max(q.rate*openTime.Seconds(), leastOpen))
+	held := float64(q.Granted - q.Spent)
+	slice := contractor.Tokens(min(q.rate*openTime.Seconds(), held*openShare))
 	return min(q.Granted, q.Spent+q.reserved+q.needed+slice)
 }
 
@@ -148,7 +149,11 @@
 	if s.Demand > 0 {
 		part = evenPart*even + (1-evenPart)*float64(q.Demand)/float64(s.Demand)
 	}
-	return contractor.Tokens(q.dealt * part * float64(left))
+	target := contractor.Tokens(q.dealt * part * float64(left))
+	if target < leastShare {
+		return 0
+	}
+	return target
 }
 
 // forget takes the demand of a daemon that has gone silent out of the sums. Its row
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -256,7 +256,7 @@
 	p.deals, p.joined = false, true
 	p.lost = p.row.takeOver(a.config.Incarnation, a.rounds.untouched)
 	for name, h := range p.row.Accounts {
-		h.Open = min(h.Granted, h.Spent+leastOpen)
+		h.Open = h.Spent + contractor.Tokens(openShare*float64(h.Granted-h.Spent))
 		p.row.Accounts[name] = h
 	}
 }
