apportioner: ask the pool again when it may have changed

Cause: a daemon with all of an account's demand refused for 2 s while 285,000 of its tokens lay in the pool, because it trusted what it had read 2 s before; callers came back 0.1 s after a cut began, when every daemon still kept its locked parts. Change: what is known of the pool counts for 0.3 s; Retry-After is the time until the locked part can be spent; 12% instead of 25% are dealt evenly; open parts follow what an account has left.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -136,8 +136,11 @@
 }
 
 // obtainable is the most that a round can bring now, besides what other requests
-// have reserved or wait for.
+// have reserved or wait for. What the pool has is not known for long.
 func (a *Apportioner) obtainable(name contractor.Account, s *account) contractor.Tokens {
+	if a.config.Now().Sub(a.rounds.dealtAt) >= urgentDeal {
+		return a.bounds[name]
+	}
 	inPool := max(a.bounds[name]-a.rounds.pool.sums(name).Granted, 0)
 	return s.granted - s.spent - s.reserved - s.needed + inPool
 }
@@ -161,7 +164,10 @@
 			Explain("account %q has %d tokens left, the request may need %d", name, left, most)
 	}
 	after := retryDealt
-	if a.unreachable() {
+	switch {
+	case a.unreachable() && !a.unlocked() && s.free(true) >= most:
+		after = a.rounds.lockedUntil.Sub(a.config.Now())
+	case a.unreachable():
 		after = retryElsewhere
 	}
 	return refuser.New(refuser.BudgetUnreachable, "reserve").After(after).
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -57,7 +57,7 @@
 	dealPerMember = 60 * time.Millisecond
 	// urgentDeal is the shortest time between two rounds that deal because a share
 	// is used up.
-	urgentDeal = 150 * time.Millisecond
+	urgentDeal = 300 * time.Millisecond
 	// kickInterval is the shortest time between two rounds.
 	kickInterval = 100 * time.Millisecond
 	// conflictPause is the mean wait after a conflict; it grows with each one.
@@ -91,8 +91,10 @@
 	openTime = leaseTime
 	// openShare bounds the open part, as a part of what the daemon holds. What a
 	// killed daemon had open is lost: so little that the account still gets nearly
-	// all that it has paid for.
-	openShare = 0.06
+	// all that it has paid for. An account that has all of its balance left can
+	// afford fullOpenShare more.
+	openShare     = 0.06
+	fullOpenShare = 0.10
 	// leastShare is the least share in tokens that a daemon holds without a request
 	// that needs it, about one request of middling length. Smaller ones are left in
 	// the pool, where any daemon can use them.
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -95,7 +95,7 @@
 const (
 	// evenPart of the dealt tokens goes to all daemons alike, because clients move
 	// to daemons where an account had no demand yet.
-	evenPart = 0.25
+	evenPart = 0.12
 	// slack is by how much a share may differ from its target before it is changed,
 	// so that rounds end.
 	slack = 0.1
@@ -109,9 +109,11 @@
 	reserved, needed contractor.Tokens
 	prepaid          contractor.Tokens
 	rate             float64 // demand in tokens per second
-	members          int
-	dealt            float64
-	leaving          bool
+	// fullness is the part of the balance that is not spent.
+	fullness float64
+	members  int
+	dealt    float64
+	leaving  bool
 }
 
 // grant returns what the daemon's row shall grant, given the sums that already
@@ -137,7 +139,8 @@
 // openPart returns up to where the daemon's row lets it spend while rounds succeed.
 func (q *position) openPart() contractor.Tokens {
 	held := float64(q.Granted - q.Spent)
-	slice := contractor.Tokens(min(q.rate*openTime.Seconds(), held*openShare))
+	share := openShare + fullOpenShare*q.fullness
+	slice := contractor.Tokens(min(q.rate*openTime.Seconds(), held*share))
 	return min(q.Granted, q.Spent+q.reserved+q.needed+slice)
 }
 
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -310,6 +310,7 @@
 			holding: next, reserved: s.reserved, needed: s.needed, rate: s.demandNow(now),
 			// An account that lost its bound has none here, and gives its share back.
 			prepaid: a.bounds[name], members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
+			fullness: a.fullness(name),
 		}
 		if p.deals {
 			next.Demand = float32(q.rate)
@@ -331,6 +332,15 @@
 	}
 }
 
+// fullness is the part of an account's balance that is not spent, as far as is known.
+func (a *Apportioner) fullness(name contractor.Account) float64 {
+	prepaid := a.bounds[name]
+	if prepaid <= 0 {
+		return 0
+	}
+	return max(1-float64(a.rounds.pool.sums(name).Spent)/float64(prepaid), 0)
+}
+
 func (p *proposal) encode(name string, r *roundState) error {
 	own, err := cbor.Marshal(p.row)
 	if err != nil {
