--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -153,7 +153,7 @@
 // output that was passed on.
 func (x *exchange) settle() {
 	used := contractor.Tokens(0)
-	if x.runs > 0 {
+	if x.begun {
 		output := contractor.Tokens(x.events * max(x.service.TokensPerEvent, 1))
 		used = x.request.Prompt + min(output, x.request.MaxOutput)
 	}
