--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -89,12 +89,13 @@
 	// openTime is how long the open part covers the demand: until the locked part
 	// can be spent.
 	openTime = leaseTime
-	// openShare bounds the open part, as a part of what the daemon holds. What a
-	// killed daemon had open is lost: so little that the account still gets nearly
-	// all that it has paid for. An account that has all of its balance left can
-	// afford fullOpenShare more.
-	openShare     = 0.06
-	fullOpenShare = 0.10
+	// openShare and fullOpenShare bound the open part, as a part of what the daemon
+	// holds. What a killed daemon had open is lost, and must be so little that an
+	// account near its end still gets nearly all that it has paid for. One that has
+	// all of its balance left can afford fullOpenShare more, which falls with the
+	// square of what is left.
+	openShare     = 0.02
+	fullOpenShare = 0.14
 	// leastShare is the least share in tokens that a daemon holds without a request
 	// that needs it, about one request of middling length. Smaller ones are left in
 	// the pool, where any daemon can use them.
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -139,7 +139,7 @@
 // openPart returns up to where the daemon's row lets it spend while rounds succeed.
 func (q *position) openPart() contractor.Tokens {
 	held := float64(q.Granted - q.Spent)
-	share := openShare + fullOpenShare*q.fullness
+	share := openShare + fullOpenShare*q.fullness*q.fullness
 	slice := contractor.Tokens(min(q.rate*openTime.Seconds(), held*share))
 	return min(q.Granted, q.Spent+q.reserved+q.needed+slice)
 }
