apportioner: settle a prompt when its answer begins

Cause: at a kill the prompts of running answers, 0.6 M of 1.1 M tokens, were still reserved and counted once more as lost, though they had been delivered.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -55,24 +55,32 @@
 type Reservation struct {
 	apportioner *Apportioner
 	account     *account
-	most        contractor.Tokens
-	settled     bool
+	left        contractor.Tokens
 }
 
-// Settle ends the reservation: used tokens are spent and the rest is free again.
-// More than was reserved is not spent. Later calls do nothing.
-func (r *Reservation) Settle(used contractor.Tokens) {
+// Spend spends a part of the reservation at once, so that the daemon's next round
+// settles it. More than is left is not spent.
+func (r *Reservation) Spend(used contractor.Tokens) {
 	if r == nil {
 		return
 	}
 	r.apportioner.mu.Lock()
 	defer r.apportioner.mu.Unlock()
-	if r.settled {
+	used = min(max(used, 0), r.left)
+	r.left -= used
+	r.account.reserved -= used
+	r.account.spent += used
+}
+
+// End frees what is left of the reservation. Later calls do nothing.
+func (r *Reservation) End() {
+	if r == nil {
 		return
 	}
-	r.settled = true
-	r.account.reserved -= r.most
-	r.account.spent += min(max(used, 0), r.most)
+	r.apportioner.mu.Lock()
+	defer r.apportioner.mu.Unlock()
+	r.account.reserved -= r.left
+	r.left = 0
 }
 
 // Reserve sets the most that a request can use apart. The error is a
@@ -99,7 +107,7 @@
 	if !a.unlocked() && s.free(false) < most {
 		a.kick() // the open part is nearly used up
 	}
-	return &Reservation{apportioner: a, account: s, most: most}
+	return &Reservation{apportioner: a, account: s, left: most}
 }
 
 // await waits, with the lock released, for rounds that bring what a request lacks.
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -26,7 +26,9 @@
 //	if err != nil {
 //		return err // a *refuser.Refusal, not run
 //	}
-//	defer func() { reservation.Settle(used) }()
+//	defer reservation.End()
+//	...
+//	reservation.Spend(used)
 package apportioner
 
 import (
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -149,15 +149,21 @@
 	return nil
 }
 
-// settle charges the prompt once when an upstream may have run the request, and the
-// output that was passed on.
-func (x *exchange) settle() {
-	used := contractor.Tokens(0)
+// begin notes that a part of an answer goes to the caller, and charges the prompt.
+// It is charged once, however many upstreams ran the request; a request without any
+// answer costs its caller nothing.
+func (x *exchange) begin() {
 	if x.begun {
-		output := contractor.Tokens(x.events * max(x.service.TokensPerEvent, 1))
-		used = x.request.Prompt + min(output, x.request.MaxOutput)
+		return
 	}
-	x.reservation.Settle(used)
+	x.begun = true
+	x.reservation.Spend(x.request.Prompt)
+}
+
+// settle charges the output that was passed on and frees the rest.
+func (x *exchange) settle() {
+	x.reservation.Spend(contractor.Tokens(x.events * max(x.service.TokensPerEvent, 1)))
+	x.reservation.End()
 }
 
 func (x *exchange) priority() int {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return x.broken(err)
 	}
-	x.begun = true
+	x.begin()
 	p.write(x.writer)
 	return nil
 }
@@ -101,7 +101,7 @@
 	if x.begun {
 		return
 	}
-	x.begun = true
+	x.begin()
 	passHeader(x.writer.Header(), a.Header)
 	x.writer.Header().Del("Content-Length")
 	x.writer.WriteHeader(a.Status)
