apportioner: unlock grants in three stages

Change: further leases of 4.8 and 9 s bound what it can have spent without the store. Bounds are set before their configuration is in force; nothing is dealt before a configuration is known (a restarted daemon gave all back once).

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -14,8 +14,8 @@
 	// granted is what the store has granted to this run, less what is being given
 	// back. Spent and reserved never exceed it together.
 	granted contractor.Tokens
-	// open is the part of granted that is spent while rounds succeed.
-	open     contractor.Tokens
+	// limits are up to where granted is spent in each stage.
+	limits   [len(stages)]contractor.Tokens
 	spent    contractor.Tokens
 	reserved contractor.Tokens
 	// needed is what waiting requests lack.
@@ -25,12 +25,14 @@
 	demandAt time.Time
 }
 
-// free returns what can be reserved, with or without the locked part.
-func (s *account) free(unlocked bool) contractor.Tokens {
-	if unlocked {
-		return s.granted - s.spent - s.reserved
+// free returns what can be reserved in a stage; after the last one it is the rest of
+// the grant.
+func (s *account) free(stage int) contractor.Tokens {
+	limit := s.granted
+	if stage < len(s.limits) {
+		limit = min(limit, s.limits[stage])
 	}
-	return min(s.open, s.granted) - s.spent - s.reserved
+	return limit - s.spent - s.reserved
 }
 
 // ask adds a request to the demand.
@@ -93,10 +95,10 @@
 	}
 	s := a.account(name)
 	s.ask(a.config.Now(), most)
-	if s.free(a.unlocked()) < most {
+	if s.free(a.stage()) < most {
 		a.await(ctx, name, s, most)
 	}
-	if s.free(a.unlocked()) < most {
+	if s.free(a.stage()) < most {
 		return nil, a.refusal(name, s, most)
 	}
 	return a.reserve(s, most), nil
@@ -104,7 +106,7 @@
 
 func (a *Apportioner) reserve(s *account, most contractor.Tokens) *Reservation {
 	s.reserved += most
-	if !a.unlocked() && s.free(false) < most {
+	if a.stage() == stageOpen && s.free(stageOpen) < most {
 		a.kick() // the open part is nearly used up
 	}
 	return &Reservation{apportioner: a, account: s, left: most}
@@ -132,15 +134,37 @@
 			expired = true
 		}
 		a.mu.Lock()
-		if expired || s.free(a.unlocked()) >= most || a.unreachable() || a.obtainable(name, s) < most {
+		if expired || s.free(a.stage()) >= most || a.unreachable() || a.obtainable(name, s) < most {
 			return
 		}
 	}
 }
 
-// unlocked reports whether the locked parts may be spent.
-func (a *Apportioner) unlocked() bool {
-	return a.rounds.joined && a.config.Now().After(a.rounds.lockedUntil)
+// stage returns the stage at this time: the first one of which a lease may last.
+func (a *Apportioner) stage() int {
+	now := a.config.Now()
+	for i := range stages {
+		if !a.rounds.joined || now.Before(a.lockedUntil(i)) {
+			return i
+		}
+	}
+	return len(stages)
+}
+
+// unlocksAfter is the time until this daemon can cover a request without the store,
+// or until another one may, when this one never can.
+func (a *Apportioner) unlocksAfter(s *account, most contractor.Tokens) time.Duration {
+	for i := a.stage(); i < len(stages); i++ {
+		if s.free(i+1) >= most {
+			return max(a.lockedUntil(i).Sub(a.config.Now()), retryElsewhere)
+		}
+	}
+	return retryElsewhere
+}
+
+// lockedUntil is when the leases of a stage have ended in any case.
+func (a *Apportioner) lockedUntil(stage int) time.Time {
+	return a.rounds.leasedAt[stage].Add(stages[stage].lease + leaseMargin)
 }
 
 // obtainable is the most that a round can bring now, besides what other requests
@@ -172,12 +196,9 @@
 			Explain("account %q has %d tokens left, the request may need %d", name, left, most)
 	}
 	after := retryDealt
-	switch {
-	case a.unreachable() && !a.unlocked() && s.free(true) >= most:
-		after = a.rounds.lockedUntil.Sub(a.config.Now())
-	case a.unreachable():
-		after = retryElsewhere
+	if a.unreachable() {
+		after = a.unlocksAfter(s, most)
 	}
 	return refuser.New(refuser.BudgetUnreachable, "reserve").After(after).
-		Explain("the share of account %q here is %d tokens, the request may need %d", name, s.free(a.unlocked()), most)
+		Explain("the share of account %q here is %d tokens, the request may need %d", name, s.free(a.stage()), most)
 }
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -44,8 +44,8 @@
 const (
 	poolKey   = "budget/pool"
 	rowPrefix = "budget/share/"
-	// alivePrefix is for the keys that last while a daemon's locked parts are untouched.
-	alivePrefix = "budget/alive/"
+	// lockPrefix is for the keys that last while a daemon's locked parts are untouched.
+	lockPrefix = "budget/lock/"
 )
 
 const (
@@ -80,17 +80,18 @@
 	// out. Cuts last about nine seconds.
 	memberTimeout = 20 * time.Second
 
-	// leaseTime is how long after a round the locked parts stay locked. A killed
-	// daemon's last round is up to 0.8 s old, and it is back within about 1.5 s.
-	leaseTime = 2400 * time.Millisecond
 	// leaseMargin covers the store's delay in ending a lease and the drift of clocks.
 	leaseMargin = 300 * time.Millisecond
 	// clockTolerance is by how much the time of day may differ between two runs
-	// beyond leaseTime: the platform says close to true, with jumps of seconds.
+	// beyond the time of a lease: the platform says close to true, with jumps of seconds.
 	clockTolerance = 1500 * time.Millisecond
-	// openTime is how long the open part covers the demand: until the locked part
-	// can be spent.
-	openTime = leaseTime
+	// retryElsewhere is when a caller comes back that was refused because this
+	// daemon's share is used up while it is cut off: at once, as it gets to another
+	// daemon.
+	retryElsewhere = 100 * time.Millisecond
+	// retryDealt is when a caller comes back after the next rounds of the others.
+	retryDealt = time.Second
+
 	// openShare and fullOpenShare bound the open part, as a part of what the daemon
 	// holds. What a killed daemon had open is lost, and must be so little that an
 	// account near its end still gets nearly all that it has paid for. One that has
@@ -102,15 +103,37 @@
 	// that needs it, about one request of middling length. Smaller ones are left in
 	// the pool, where any daemon can use them.
 	leastShare = 12_000
-
-	// retryElsewhere is when a caller comes back that was refused because this
-	// daemon's share is used up while it is cut off: at once, as it gets to another
-	// daemon.
-	retryElsewhere = 100 * time.Millisecond
-	// retryDealt is when a caller comes back after the next rounds of the others.
-	retryDealt = time.Second
+	// demandExcess is how much more than the demand the later stages cover.
+	demandExcess = 1.5
 )
 
+// stages are how a grant is unlocked while the store is away.
+var stages = [...]stage{
+	// A killed daemon's last round is up to 0.8 s old, and it is back within about 1.5 s.
+	{name: "open", lease: 2400 * time.Millisecond, renewal: 300 * time.Millisecond},
+	// A VM that lost power is back within about 4 s.
+	{name: "short", lease: 4800 * time.Millisecond, renewal: 1500 * time.Millisecond, cover: 3400 * time.Millisecond, share: 0.15},
+	// Cuts last up to 9 s.
+	{name: "long", lease: 9 * time.Second, renewal: 3 * time.Second, cover: 6 * time.Second, share: 0.5},
+}
+
+// stageOpen is the stage while rounds succeed.
+const stageOpen = 0
+
+// stage is a part of the time without the store, in which only a part of a grant is spent.
+type stage struct {
+	name string
+	// lease is how long the stage lasts after its last lease.
+	lease time.Duration
+	// renewal is after how long a round gets a new lease.
+	renewal time.Duration
+	// cover is how long the stage's part of the grant lasts at the usual demand.
+	cover time.Duration
+	// share is the least part of a share that the stage adds, for accounts that turn
+	// to a daemon at which they had no demand.
+	share float64
+}
+
 // Config holds what an Apportioner needs.
 type Config struct {
 	Store persister.Store
@@ -155,12 +178,12 @@
 	joined       bool
 	leaving      bool
 	replaced     bool
-	// untouched is true when an earlier run did not spend its locked parts.
-	untouched bool
-	// dealtAt and leasedAt are when the daemon last dealt and last got a lease.
-	dealtAt, leasedAt time.Time
-	// lockedUntil is when the last lease has ended in any case.
-	lockedUntil time.Time
+	// before is the stage that an earlier run cannot have left, or len(stages).
+	before int
+	// dealtAt is when the daemon last dealt.
+	dealtAt time.Time
+	// leasedAt is when the daemon last got a lease of a stage.
+	leasedAt [len(stages)]time.Time
 	// asked is when the round under way began, or the zero time.
 	asked   time.Time
 	failing bool
@@ -186,7 +209,6 @@
 		start:    c.Now(),
 		kicked:   make(chan struct{}, 1),
 		accounts: make(map[contractor.Account]*account),
-		bounds:   make(map[contractor.Account]contractor.Tokens),
 		served:   make(chan struct{}),
 		rounds:   roundState{members: make(map[string]sighting)},
 	}
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -34,11 +34,11 @@
 // holding is one account in a row. Settled and Demand are as the pool counts them;
 // Spent may be newer.
 type holding struct {
-	Granted contractor.Tokens `cbor:"granted"`
-	Open    contractor.Tokens `cbor:"open"`
-	Spent   contractor.Tokens `cbor:"spent"`
-	Settled contractor.Tokens `cbor:"settled"`
-	Demand  float32           `cbor:"demand"`
+	Granted contractor.Tokens              `cbor:"granted"`
+	Limits  [len(stages)]contractor.Tokens `cbor:"limits"`
+	Spent   contractor.Tokens              `cbor:"spent"`
+	Settled contractor.Tokens              `cbor:"settled"`
+	Demand  float32                        `cbor:"demand"`
 }
 
 func (p *pool) sums(name contractor.Account) sums { return p.Accounts[name] }
@@ -74,18 +74,19 @@
 }
 
 // takeOver makes the row of an earlier run that of this run, which goes on with the
-// same grants. What the earlier run may have spent since its last round counts as
-// spent: the open parts, and the locked ones too unless they are known to be
-// untouched. It returns what was lost.
-func (r *row) takeOver(incarnation contractor.Incarnation, untouched bool) contractor.Tokens {
+// same grants. All that the earlier run may have spent since its last round, if it
+// cannot have left the stage, counts as spent. It returns what was lost.
+func (r *row) takeOver(incarnation contractor.Incarnation, stage int) contractor.Tokens {
 	lost := contractor.Tokens(0)
 	for name, h := range r.Accounts {
 		bound := h.Granted
-		if untouched {
-			bound = min(h.Open, h.Granted)
+		if stage < len(h.Limits) {
+			bound = min(h.Limits[stage], h.Granted)
 		}
 		lost += bound - h.Spent
 		h.Spent = bound
+		q := position{holding: h}
+		h.Limits = q.limits()
 		r.Accounts[name] = h
 	}
 	r.Incarnation = incarnation
@@ -136,12 +137,17 @@
 	return q.Granted
 }
 
-// openPart returns up to where the daemon's row lets it spend while rounds succeed.
-func (q *position) openPart() contractor.Tokens {
+// limits returns up to where the daemon's row lets it spend in each stage.
+func (q *position) limits() [len(stages)]contractor.Tokens {
+	var limits [len(stages)]contractor.Tokens
 	held := float64(q.Granted - q.Spent)
 	share := openShare + fullOpenShare*q.fullness*q.fullness
-	slice := contractor.Tokens(min(q.rate*openTime.Seconds(), held*share))
-	return min(q.Granted, q.Spent+q.reserved+q.needed+slice)
+	part := min(q.rate*stages[stageOpen].lease.Seconds(), held*share)
+	for i, t := range stages {
+		part += max(demandExcess*q.rate*t.cover.Seconds(), held*t.share)
+		limits[i] = min(q.Granted, q.Spent+q.reserved+q.needed+contractor.Tokens(part))
+	}
+	return limits
 }
 
 // target is the share of what is left that the daemon holds in calm times.
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -130,30 +130,36 @@
 	if err := a.adopt(mine, shared); err != nil {
 		return err
 	}
-	return a.findAlive(ctx)
+	return a.findLocks(ctx)
 }
 
-// aliveKey is the key of the locked parts of one run.
-func (a *Apportioner) aliveKey(run contractor.Incarnation) string {
-	return fmt.Sprintf("%s%s/%x", alivePrefix, a.config.Name, uint64(run))
+// lockKey is the key of a stage of one run.
+func (a *Apportioner) lockKey(run contractor.Incarnation, stage int) string {
+	return fmt.Sprintf("%s%s/%x/%s", lockPrefix, a.config.Name, uint64(run), stages[stage].name)
 }
 
-// findAlive looks, before this run has a row, whether the locked parts of an
-// earlier run are untouched.
-func (a *Apportioner) findAlive(ctx context.Context) error {
+// findLocks looks, before this run has a row, in which stage an earlier run was at
+// the most when it ended.
+func (a *Apportioner) findLocks(ctx context.Context) error {
 	a.mu.Lock()
 	old := a.rounds.row
 	a.mu.Unlock()
 	if old.Incarnation == 0 || old.Incarnation == a.config.Incarnation {
 		return nil
 	}
-	alive, err := a.config.Store.Get(ctx, a.aliveKey(old.Incarnation))
-	if err != nil {
-		return err
+	before := 0
+	for ; before < len(stages); before++ {
+		lock, err := a.config.Store.Get(ctx, a.lockKey(old.Incarnation, before))
+		if err != nil {
+			return err
+		}
+		elapsed := a.config.Now().Sub(time.UnixMilli(old.Stamp)).Abs()
+		if lock.Revision > 0 && elapsed < stages[before].lease+clockTolerance {
+			break
+		}
 	}
-	elapsed := a.config.Now().Sub(time.UnixMilli(old.Stamp)).Abs()
 	a.mu.Lock()
-	a.rounds.untouched = alive.Revision > 0 && elapsed < leaseTime+clockTolerance
+	a.rounds.before = before
 	a.mu.Unlock()
 	return nil
 }
@@ -216,7 +222,6 @@
 // proposal is a change of the row and, when it deals, of the pool.
 type proposal struct {
 	deals  bool
-	leases bool
 	pool   pool
 	row    row
 	joined bool
@@ -229,7 +234,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r, now := &a.rounds, a.config.Now()
-	p := &proposal{row: r.row.clone(), deals: a.dealDue(now), leases: now.Sub(r.leasedAt) >= roundInterval/2}
+	p := &proposal{row: r.row.clone(), deals: a.dealDue(now)}
 	if r.row.Incarnation != a.config.Incarnation {
 		a.planTakeOver(p)
 	} else {
@@ -254,11 +259,7 @@
 // without the pool, so that a fleet that starts at once does not wait for itself.
 func (a *Apportioner) planTakeOver(p *proposal) {
 	p.deals, p.joined = false, true
-	p.lost = p.row.takeOver(a.config.Incarnation, a.rounds.untouched)
-	for name, h := range p.row.Accounts {
-		h.Open = h.Spent + contractor.Tokens(openShare*float64(h.Granted-h.Spent))
-		p.row.Accounts[name] = h
-	}
+	p.lost = p.row.takeOver(a.config.Incarnation, a.rounds.before)
 }
 
 // dealDue reports whether the next round changes the pool: from time to time, and
@@ -266,6 +267,9 @@
 func (a *Apportioner) dealDue(now time.Time) bool {
 	r := &a.rounds
 	since := now.Sub(r.dealtAt)
+	if a.bounds == nil {
+		return false // what accounts have prepaid is not known yet
+	}
 	if r.leaving || r.dealtAt.IsZero() {
 		return true
 	}
@@ -297,7 +301,9 @@
 // lower follows a holding down, never up.
 func (s *account) lower(h holding) {
 	s.granted = min(s.granted, h.Granted)
-	s.open = min(s.open, h.Open)
+	for i := range s.limits {
+		s.limits[i] = min(s.limits[i], h.Limits[i])
+	}
 }
 
 // planAccounts plans each account: what was spent, what is open, and when the round
@@ -323,7 +329,7 @@
 			next.Granted = q.grant(p.pool.sums(name))
 			q.Granted = next.Granted
 		}
-		next.Open = q.openPart()
+		next.Limits = q.limits()
 		if p.deals {
 			p.pool.apply(&p.row, name, next)
 		} else {
@@ -363,10 +369,8 @@
 // commit writes a proposal. After an uncertain outcome the next round reads the
 // store again, and its own write then excludes that this one takes effect late.
 func (a *Apportioner) commit(ctx context.Context, p *proposal) error {
-	if p.leases {
-		if err := a.lease(ctx, p); err != nil {
-			return err
-		}
+	if err := a.lease(ctx, p); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -391,14 +395,14 @@
 	r.known, r.joined = true, true
 	for name, h := range p.row.Accounts {
 		s := a.account(name)
-		s.granted, s.open = h.Granted, h.Open
+		s.granted, s.limits = h.Granted, h.Limits
 		if p.joined {
 			s.spent += h.Spent
 		}
 	}
 	a.sight()
 	if p.joined {
-		a.config.Recorder.Event(recorder.ShareTaken, "vm", a.config.Name, "untouched", r.untouched, "revision", revision)
+		a.config.Recorder.Event(recorder.ShareTaken, "vm", a.config.Name, "stage", r.before, "revision", revision)
 		a.kick()
 	}
 	if p.lost > 0 {
@@ -407,24 +411,37 @@
 	return nil
 }
 
-// lease puts the key of the locked parts into a proposal, under a new lease. A
-// renewal could take effect late and prolong the key's life, a new lease cannot:
-// its time runs from before its answer.
+// lease puts the keys of the stages whose leases have grown old into a proposal,
+// each under a new lease. A renewal could take effect late and prolong the key's
+// life; a new lease cannot, because its time runs from before its answer.
 func (a *Apportioner) lease(ctx context.Context, p *proposal) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	id, err := a.config.Store.GrantLease(ctx, leaseTime)
-	if err != nil {
-		return err
+	for i, t := range stages {
+		a.mu.Lock()
+		due := a.config.Now().Sub(a.rounds.leasedAt[i]) >= t.renewal
+		a.mu.Unlock()
+		if !due {
+			continue
+		}
+		id, err := a.grantLease(ctx, t.lease)
+		if err != nil {
+			return err
+		}
+		a.mu.Lock()
+		a.rounds.leasedAt[i] = a.config.Now()
+		a.mu.Unlock()
+		p.txn.Puts = append(p.txn.Puts, persister.Put{
+			Key: a.lockKey(a.config.Incarnation, i), Value: []byte(t.name), Lease: id,
+		})
 	}
-	p.txn.Puts = append(p.txn.Puts, persister.Put{Key: a.aliveKey(a.config.Incarnation), Value: []byte(a.config.Name), Lease: id})
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.config.Now()
-	a.rounds.leasedAt, a.rounds.lockedUntil = now, now.Add(leaseTime+leaseMargin)
 	return nil
 }
 
+func (a *Apportioner) grantLease(ctx context.Context, ttl time.Duration) (persister.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return a.config.Store.GrantLease(ctx, ttl)
+}
+
 // forgetSilent takes daemons out of the pool that have made no round for long.
 func (a *Apportioner) forgetSilent(ctx context.Context) error {
 	a.mu.Lock()
--- a/launcher/configuration.go
+++ b/launcher/configuration.go
@@ -37,10 +37,12 @@
 		d.config.Recorder.Event(recorder.ConfigurationSkipped, "key", e.Key, "revision", e.Revision, "err", err)
 		return
 	}
-	if !d.holder.Replace(table) {
+	if old := d.holder.Table(); old != nil && old.Version() >= table.Version() {
 		return
 	}
+	// The bounds come first: an account that has none yet would be served without one.
 	d.shares.SetBounds(bounds(table))
+	d.holder.Replace(table)
 	d.config.Recorder.Event(recorder.ConfigurationApplied, "version", table.Version(), "revision", e.Revision,
 		"services", len(table.Services()), "accounts", len(table.Accounts()))
 }
