announcer: daemons tell each other their work and where parts lie

Cause: late first events in the first 8 s came from upstreams that were idle in the eyes of each daemon and busy in fact (traces: queue 0, first event after 1.5 s). Change: ten notices a second over UDP; reading counts five times.

--- /dev/null
+++ b/announcer/announcer.go
@@ -0,0 +1,176 @@
+// Package announcer tells the daemons of a fleet what the others have under way.
+//
+// Many daemons send requests to the same upstreams, and each sees only its own. So
+// every daemon sends the others a small datagram several times a second: how much
+// work it has at which upstream, and which parts of prompts it has sent where. A
+// notice replaces the one before it, so a lost one does no harm, and nothing is
+// decided that would be wrong without it. That is why it goes over plain UDP: a QUIC
+// connection to each daemon would cost a handshake of 10 ms for what may be lost.
+//
+//	a, err := announcer.New(announcer.Config{Address: address, Peers: peers, Source: p, Sink: p})
+//	go a.Run(ctx)
+package announcer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"laburnumline/recorder"
+)
+
+const (
+	// interval is the time between two notices of a small fleet. Reading a long
+	// prompt takes some 300 ms.
+	interval = 100 * time.Millisecond
+	// perPeer bounds what a notice to each daemon costs in a large fleet: about a
+	// hundred datagrams a second.
+	perPeer = 10 * time.Millisecond
+	// maxNotice is the largest datagram in bytes, which fits into one packet.
+	maxNotice = 1400
+	// maxPlaced bounds the placements in a notice, so that it fits.
+	maxPlaced = 48
+	// maxLoads bounds the loads in a notice, so that it fits.
+	maxLoads = 64
+)
+
+// Load is the work of one daemon at one upstream.
+type Load struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint32   // hash of the upstream's name
+	Reading  uint32   // time to read the prompts under way, in milliseconds
+	InFlight uint32   // requests under way
+}
+
+// Placement is a part of a prompt that was sent to an upstream.
+type Placement struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint32   // hash of the upstream's name
+	Part     uint64   // id of the part
+}
+
+// Notice is what one daemon tells.
+type Notice struct {
+	_ struct{} `cbor:",toarray"`
+	// From differs in each run of a daemon.
+	From uint32
+	// Sequence grows with each notice of a run.
+	Sequence uint64
+	Loads    []Load
+	Placed   []Placement
+}
+
+// Source says what this daemon has to tell since the last call.
+type Source interface {
+	Collect(loads, placed int) ([]Load, []Placement)
+}
+
+// Sink takes the notices of other daemons.
+type Sink interface {
+	Hear(now time.Time, n *Notice)
+}
+
+// Config holds what an Announcer needs.
+type Config struct {
+	// Address is where notices arrive.
+	Address netip.AddrPort
+	// Peers returns the addresses of the other daemons.
+	Peers func() []netip.AddrPort
+	// From differs in each run of a daemon.
+	From     uint32
+	Source   Source
+	Sink     Sink
+	Recorder *recorder.Recorder
+}
+
+// Announcer sends and receives notices.
+type Announcer struct {
+	config   Config
+	conn     *net.UDPConn
+	sequence uint64
+	seen     map[uint32]uint64 // newest sequence by sender
+}
+
+// maxSenders bounds the senders that are remembered. Restarted daemons are new ones.
+const maxSenders = 4096
+
+// New opens the socket.
+func New(c Config) (*Announcer, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(c.Address))
+	if err != nil {
+		return nil, fmt.Errorf("listen for notices on %s: %w", c.Address, err)
+	}
+	return &Announcer{config: c, conn: conn, seen: make(map[uint32]uint64)}, nil
+}
+
+// Run sends and receives until ctx ends.
+func (a *Announcer) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { a.conn.Close() })
+	defer stop()
+	go a.receive()
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		peers := a.config.Peers()
+		a.send(peers)
+		timer.Reset(max(interval, time.Duration(len(peers))*perPeer))
+	}
+}
+
+func (a *Announcer) send(peers []netip.AddrPort) {
+	loads, placed := a.config.Source.Collect(maxLoads, maxPlaced)
+	if len(peers) == 0 || len(loads)+len(placed) == 0 {
+		return
+	}
+	a.sequence++
+	text, err := cbor.Marshal(Notice{From: a.config.From, Sequence: a.sequence, Loads: loads, Placed: placed})
+	if err != nil {
+		a.config.Recorder.Event(recorder.NoticeFailed, "step", "encode", "err", err)
+		return
+	}
+	for _, peer := range peers {
+		if _, err := a.conn.WriteToUDPAddrPort(text, peer); err != nil {
+			a.config.Recorder.Count("announcer.not_sent", 1)
+		}
+	}
+}
+
+// receive reads notices until the socket is closed.
+func (a *Announcer) receive() {
+	buffer := make([]byte, maxNotice)
+	for {
+		n, _, err := a.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		var notice Notice
+		if err := cbor.Unmarshal(buffer[:n], &notice); err != nil {
+			a.config.Recorder.Event(recorder.NoticeFailed, "step", "decode", "err", err)
+			continue
+		}
+		if a.fresh(&notice) {
+			a.config.Sink.Hear(time.Now(), &notice)
+		}
+	}
+}
+
+// fresh reports whether a notice is newer than all of its sender before.
+func (a *Announcer) fresh(n *Notice) bool {
+	if n.From == a.config.From || n.Sequence <= a.seen[n.From] {
+		return false
+	}
+	if len(a.seen) >= maxSenders {
+		clear(a.seen)
+	}
+	a.seen[n.From] = n.Sequence
+	return true
+}
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -32,6 +32,7 @@
 package apportioner
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
@@ -139,6 +140,8 @@
 	Store persister.Store
 	// Name is the name of this VM, which the next run of the daemon has too.
 	Name string
+	// Address is where other daemons reach this one.
+	Address netip.AddrPort
 	// Incarnation differs in each run of the daemon.
 	Incarnation contractor.Incarnation
 	// Dealt is the part of a balance that is dealt out. Zero means defaultDealt.
@@ -240,6 +243,22 @@
 	return max(len(a.rounds.pool.Members), 1)
 }
 
+// Peers returns the addresses of the other daemons that share the balances.
+func (a *Apportioner) Peers() []netip.AddrPort {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var peers []netip.AddrPort
+	for name, m := range a.rounds.pool.Members {
+		if name == a.config.Name {
+			continue
+		}
+		if address, err := netip.ParseAddrPort(m.Address); err == nil {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
+
 func (a *Apportioner) account(name contractor.Account) *account {
 	s := a.accounts[name]
 	if s == nil {
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -13,7 +13,13 @@
 // pool is the value that all daemons share: the sums of their rows.
 type pool struct {
 	Accounts map[contractor.Account]sums `cbor:"accounts"`
-	Members  map[string]int64            `cbor:"members"` // number of the last round by VM
+	Members  map[string]member           `cbor:"members"` // by VM
+}
+
+// member is a daemon that takes part.
+type member struct {
+	Round   int64  `cbor:"round"` // number of its last deal
+	Address string `cbor:"address"`
 }
 
 // sums are the totals of one account over all rows, also of rows that are gone.
@@ -49,7 +55,7 @@
 		c.Accounts = make(map[contractor.Account]sums)
 	}
 	if c.Members == nil {
-		c.Members = make(map[string]int64)
+		c.Members = make(map[string]member)
 	}
 	return c
 }
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -207,9 +207,9 @@
 // sight notes which daemons have made rounds.
 func (a *Apportioner) sight() {
 	r, now := &a.rounds, a.config.Now()
-	for name, round := range r.pool.Members {
-		if s, ok := r.members[name]; !ok || s.round != round {
-			r.members[name] = sighting{round: round, at: now}
+	for name, m := range r.pool.Members {
+		if s, ok := r.members[name]; !ok || s.round != m.Round {
+			r.members[name] = sighting{round: m.Round, at: now}
 		}
 	}
 	for name := range r.members {
@@ -294,7 +294,7 @@
 	if r.leaving {
 		delete(p.pool.Members, a.config.Name)
 	} else {
-		p.pool.Members[a.config.Name] = r.number
+		p.pool.Members[a.config.Name] = member{Round: r.number, Address: a.config.Address.String()}
 	}
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -22,6 +22,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"laburnumline/announcer"
 	"laburnumline/apportioner"
 	"laburnumline/connector"
 	"laburnumline/contractor"
@@ -116,6 +117,7 @@
 // Daemon is one running daemon.
 type Daemon struct {
 	config    Config
+	run       contractor.Incarnation
 	holder    *director.Holder
 	registrar *registrar.Registrar
 	shares    *apportioner.Apportioner
@@ -133,8 +135,9 @@
 func New(c Config) *Daemon {
 	d := &Daemon{config: c, holder: &director.Holder{}}
 	s, rec := c.Settings, c.Recorder
+	d.run = contractor.Incarnation(rand.Uint64())
 	d.shares = apportioner.New(apportioner.Config{
-		Store: c.Adapter.Store, Name: s.Name, Incarnation: contractor.Incarnation(rand.Uint64()), Recorder: rec,
+		Store: c.Adapter.Store, Name: s.Name, Address: s.Internal, Incarnation: d.run, Recorder: rec,
 	})
 	d.placer = placer.New(placer.Config{Zone: s.Zone})
 	d.pool = connector.New(connector.Config{
@@ -179,6 +182,7 @@
 	parts.Go(func() error { d.upstreams.Run(background); return nil })
 	parts.Go(func() error { d.shares.Run(background); return nil })
 	parts.Go(func() error { d.keepHouse(background); return nil })
+	parts.Go(func() error { return d.announce(background) })
 
 	side, err := d.serveSide()
 	if err != nil {
@@ -196,6 +200,23 @@
 	return errors.Join(err, parts.Wait())
 }
 
+// announce tells the other daemons what this one has under way, until ctx ends.
+func (d *Daemon) announce(ctx context.Context) error {
+	if !d.config.Settings.Internal.IsValid() {
+		return nil
+	}
+	a, err := announcer.New(announcer.Config{
+		Address: d.config.Settings.Internal, Peers: d.shares.Peers, From: uint32(d.run),
+		Source: d.placer, Sink: d.placer, Recorder: d.config.Recorder,
+	})
+	if err != nil {
+		d.config.Recorder.Event(recorder.NoticeFailed, "step", "listen", "err", err)
+		return err
+	}
+	a.Run(ctx)
+	return nil
+}
+
 // listen opens a listener.
 func listen(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"laburnumline/announcer"
 	"laburnumline/registrar"
 )
 
@@ -31,22 +32,22 @@
 	} else {
 		best = p.pickByWork(list)
 	}
-	best.node.begin(now, q, reading)
+	p.begin(now, best.node, q, reading)
 	return Choice{Upstream: *best.upstream, reading: reading}, true
 }
 
 // begin counts a request at an upstream.
-func (n *node) begin(now time.Time, q Query, reading time.Duration) {
+func (p *Placer) begin(now time.Time, n *node, q Query, reading time.Duration) {
 	n.inFlight++
 	n.reading += reading
 	if !n.ejectedUntil.IsZero() {
 		n.trial = true
 	}
-	if len(n.parts)+len(q.Parts) > maxParts {
-		n.forgetParts(now)
-	}
 	for _, part := range shared(q.Parts) {
-		n.parts[part.ID] = now
+		n.remember(now, part.ID)
+		if len(p.unsent) < maxUnsent {
+			p.unsent = append(p.unsent, announcer.Placement{Upstream: uint32(n.hash), Part: part.ID})
+		}
 	}
 }
 
@@ -97,7 +98,8 @@
 
 // work is the number of requests at the upstream, as far as it is known here.
 func (n *node) work(now time.Time) float64 {
-	own := float64(n.inFlight)
+	_, elsewhere := n.elsewhere(now)
+	own := float64(n.inFlight + elsewhere)
 	if n.loadAt.IsZero() || now.Sub(n.loadAt) > loadMemory {
 		return own
 	}
@@ -119,7 +121,8 @@
 	for i := range list {
 		n := list[i].node
 		cold := readingTime(n.missing(now, q, i == home))
-		cost := cold + n.reading + time.Duration(list[i].work*float64(requestWork))
+		elsewhere, _ := n.elsewhere(now)
+		cost := readWeight*cold + n.reading + elsewhere + time.Duration(list[i].work*float64(requestWork))
 		if i == 0 || cost < least || cost == least && list[i].weight > list[best].weight {
 			best, least, reading = i, cost, cold
 		}
@@ -128,15 +131,19 @@
 }
 
 // missing returns how many tokens of a prompt have to be read at an upstream: all
-// from the first part on that does not lie there.
+// from the first part on that does not lie there, or at its home half of them.
 func (n *node) missing(now time.Time, q Query, home bool) int64 {
 	tokens := q.Tokens
 	for _, part := range shared(q.Parts) {
 		at, sent := n.parts[part.ID]
-		if !home && (!sent || now.Sub(at) > partMemory) {
-			break
+		switch {
+		case sent && now.Sub(at) <= partMemory:
+			tokens -= part.Tokens
+		case home:
+			tokens -= part.Tokens / 2
+		default:
+			return max(tokens, 0)
 		}
-		tokens -= part.Tokens
 	}
 	return max(tokens, 0)
 }
@@ -226,9 +233,10 @@
 func (p *Placer) Keep(listed func(registrar.Name) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name := range p.nodes {
+	for name, n := range p.nodes {
 		if !listed(name) {
 			delete(p.nodes, name)
+			delete(p.byHash, uint32(n.hash))
 		}
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,10 +7,11 @@
 // The first is the home of the part. Another upstream is taken when the home has so
 // much more work that reading the prompt there costs less than waiting:
 //
-//	cost = work of the upstream + time to read the parts that do not lie there
+//	cost = work of the upstream + weighted time to read the parts that do not lie there
 //
-// A part lies at its home, and where this daemon sent it of late. Work is what this
-// daemon has under way and what the upstream said of its load, in units of time.
+// A part lies where daemons sent it of late, as they tell each other; of a part that
+// nobody has told of, half is taken to lie at its home. Work is what the daemons
+// have under way and what the upstream said of its load, in units of time.
 // Requests to plain services go to the upstream with the least work, and to one of
 // the own zone among equals.
 //
@@ -32,6 +33,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"laburnumline/announcer"
 	"laburnumline/registrar"
 )
 
@@ -109,12 +111,15 @@
 	// readRate is how many prompt tokens an engine reads in a second. Engines of the
 	// users read 54,600, and less beside streams.
 	readRate = 45_000.0
+	// readWeight is how much dearer reading is than waiting as long: it delays all
+	// requests at the upstream, and a copy takes memory from other parts.
+	readWeight = 5
 	// requestWork is what one request at an upstream costs the next one, beside its
 	// prompt.
 	requestWork = 12 * time.Millisecond
-	// memory is how long a part that was sent to an upstream counts as lying there.
+	// partMemory is how long a part that was sent to an upstream counts as lying there.
 	// Parts yield when the memory of the engine is full.
-	partMemory = 10 * time.Second
+	partMemory = 30 * time.Second
 	// maxParts bounds the parts that are remembered for one upstream.
 	maxParts = 512
 	// firstEjection doubles with each failure in a row up to longestEjection. A
@@ -138,8 +143,10 @@
 type Placer struct {
 	config Config
 
-	mu    sync.Mutex
-	nodes map[registrar.Name]*node
+	mu     sync.Mutex
+	nodes  map[registrar.Name]*node
+	byHash map[uint32]*node
+	unsent []announcer.Placement
 }
 
 // node is the state of one upstream.
@@ -150,7 +157,11 @@
 	// reading is the time to read the prompts that were sent and not answered yet.
 	reading time.Duration
 	// parts is when parts were last sent here.
-	parts    map[uint64]time.Time
+	parts map[uint64]time.Time
+	// others is the work of other daemons, by their run.
+	others map[uint32]foreign
+	// told is true when the last notice named work here.
+	told     bool
 	load     Load
 	loadAt   time.Time
 	failures int
@@ -162,14 +173,18 @@
 
 // New returns a placer that knows nothing.
 func New(c Config) *Placer {
-	return &Placer{config: c, nodes: make(map[registrar.Name]*node)}
+	return &Placer{config: c, nodes: make(map[registrar.Name]*node), byHash: make(map[uint32]*node)}
 }
 
 func (p *Placer) node(u *registrar.Upstream) *node {
 	n := p.nodes[u.Name]
 	if n == nil || n.born != u.Born {
-		n = &node{hash: xxhash.Sum64String(string(u.Name)), born: u.Born, parts: make(map[uint64]time.Time)}
+		n = &node{
+			hash: xxhash.Sum64String(string(u.Name)), born: u.Born,
+			parts: make(map[uint64]time.Time), others: make(map[uint32]foreign),
+		}
 		p.nodes[u.Name] = n
+		p.byHash[uint32(n.hash)] = n
 	}
 	return n
 }
--- a/recorder/catalogue_membership.go
+++ b/recorder/catalogue_membership.go
@@ -14,6 +14,8 @@
 	PeerOutdated    Code = 5102
 	KeysReloaded    Code = 5201
 	KeysUnusable    Code = 5202
+	// NoticeFailed is logged when a notice of a daemon's work cannot be written or read.
+	NoticeFailed Code = 5301
 )
 
 var _ = declare(areaNames{
@@ -29,4 +31,5 @@
 	PeerOutdated:    "peer_outdated",
 	KeysReloaded:    "keys_reloaded",
 	KeysUnusable:    "keys_unusable",
+	NoticeFailed:    "notice_failed",
 })
