--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -107,7 +107,7 @@
 func (a *Apportioner) reserve(s *account, most contractor.Tokens) *Reservation {
 	s.reserved += most
 	if a.stage() == stageOpen && s.free(stageOpen) < most {
-		a.kick() // the open part is nearly used up
+		ask(a.opening) // the open part is nearly used up
 	}
 	return &Reservation{apportioner: a, account: s, left: most}
 }
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -61,8 +61,10 @@
 	// urgentDeal is the shortest time between two rounds that deal because a share
 	// is used up.
 	urgentDeal = 300 * time.Millisecond
-	// kickInterval is the shortest time between two rounds.
-	kickInterval = 100 * time.Millisecond
+	// kickInterval is the shortest time between two rounds, and openInterval that
+	// before a round for which no request waits yet.
+	kickInterval = 60 * time.Millisecond
+	openInterval = 300 * time.Millisecond
 	// conflictPause is the mean wait after a conflict; it grows with each one.
 	conflictPause = 5 * time.Millisecond
 	// reserveWait is how long a request waits for a round that brings tokens. A
@@ -111,11 +113,11 @@
 // stages are how a grant is unlocked while the store is away.
 var stages = [...]stage{
 	// A killed daemon's last round is up to 0.8 s old, and it is back within about 1.5 s.
-	{name: "open", lease: 2400 * time.Millisecond, renewal: 300 * time.Millisecond},
+	{name: "open", lease: 2600 * time.Millisecond, renewal: 600 * time.Millisecond},
 	// A VM that lost power is back within about 4 s.
-	{name: "short", lease: 4800 * time.Millisecond, renewal: 1500 * time.Millisecond, cover: 3400 * time.Millisecond, share: 0.15},
+	{name: "short", lease: 5 * time.Second, renewal: 2 * time.Second, cover: 3400 * time.Millisecond, share: 0.15},
 	// Cuts last up to 9 s.
-	{name: "long", lease: 9 * time.Second, renewal: 3 * time.Second, cover: 6 * time.Second, share: 0.5},
+	{name: "long", lease: 10 * time.Second, renewal: 4 * time.Second, cover: 6 * time.Second, share: 0.5},
 }
 
 // stageOpen is the stage while rounds succeed.
@@ -158,7 +160,8 @@
 type Apportioner struct {
 	config Config
 	start  time.Time
-	kicked chan struct{}
+	// kicked asks for a round at once, opening for one soon.
+	kicked, opening chan struct{}
 
 	mu       sync.Mutex
 	accounts map[contractor.Account]*account
@@ -211,6 +214,7 @@
 		config:   c,
 		start:    c.Now(),
 		kicked:   make(chan struct{}, 1),
+		opening:  make(chan struct{}, 1),
 		accounts: make(map[contractor.Account]*account),
 		served:   make(chan struct{}),
 		rounds:   roundState{members: make(map[string]sighting)},
@@ -268,9 +272,12 @@
 	return s
 }
 
-func (a *Apportioner) kick() {
+// kick asks for a round at once.
+func (a *Apportioner) kick() { ask(a.kicked) }
+
+func ask(c chan<- struct{}) {
 	select {
-	case a.kicked <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -23,21 +23,34 @@
 
 // Run makes rounds until ctx ends.
 func (a *Apportioner) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
+	for ctx.Err() == nil {
+		begun := a.config.Now()
+		a.Round(ctx)
+		a.wait(ctx, begun, a.interval())
+	}
+}
+
+// wait waits for the next round: until the interval has passed, until a request
+// waits for tokens, or until open parts are nearly used up.
+func (a *Apportioner) wait(ctx context.Context, begun time.Time, interval time.Duration) {
+	if !pause(ctx, kickInterval-a.config.Now().Sub(begun)) {
+		return
+	}
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
+	opening := a.opening
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+			return
 		case <-a.kicked:
-		}
-		begun := a.config.Now()
-		a.Round(ctx)
-		if !pause(ctx, kickInterval-a.config.Now().Sub(begun)) {
 			return
+		case <-opening:
+			opening = nil
+			timer.Reset(max(openInterval-a.config.Now().Sub(begun), 0))
 		}
-		timer.Reset(a.interval())
 	}
 }
 
