--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -168,15 +168,24 @@
 }
 
 // obtainable is the most that a round can bring now, besides what other requests
-// have reserved or wait for. What the pool has is not known for long.
+// have reserved or wait for. What the pool has is not known for long, unless the
+// account is as good as used up.
 func (a *Apportioner) obtainable(name contractor.Account, s *account) contractor.Tokens {
-	if a.config.Now().Sub(a.rounds.dealtAt) >= urgentDeal {
+	if a.config.Now().Sub(a.rounds.dealtAt) >= urgentDeal && !a.nearlySpent(name) {
 		return a.bounds[name]
 	}
 	inPool := max(a.bounds[name]-a.rounds.pool.sums(name).Granted, 0)
 	return s.granted - s.spent - s.reserved - s.needed + inPool
 }
 
+// nearlySpent reports whether so little of a balance is left that asking the pool
+// for it is not worth a call for each request.
+func (a *Apportioner) nearlySpent(name contractor.Account) bool {
+	prepaid := a.bounds[name]
+	left := prepaid - a.rounds.pool.sums(name).Spent
+	return left < min(2*leastShare, contractor.Tokens(nearlySpentShare*float64(prepaid)))
+}
+
 // unreachable reports whether rounds fail or get no answer.
 func (a *Apportioner) unreachable() bool {
 	r := &a.rounds
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -106,6 +106,8 @@
 	// that needs it, about one request of middling length. Smaller ones are left in
 	// the pool, where any daemon can use them.
 	leastShare = 12_000
+	// nearlySpentShare is the part of a balance below which it counts as nearly spent.
+	nearlySpentShare = 0.01
 	// demandExcess is how much more than the demand the later stages cover.
 	demandExcess = 1.5
 )
