forwarder: keep requests that crash upstreams from them

Cause: nothing bounded how many upstreams a request that crashes them reaches over all daemons; the rule allows three. Change: an attempt that breaks off blames its request when the upstream takes no connection after it; daemons tell each other with their notices; after three the request is refused for a minute, with 503 as it may come back.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -16,10 +16,13 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"laburnumline/quarantiner"
 	"laburnumline/recorder"
 )
 
@@ -62,6 +65,8 @@
 	Sequence uint64
 	Loads    []Load
 	Placed   []Placement
+	// Suspects are requests that have crashed upstreams.
+	Suspects []quarantiner.Record
 }
 
 // Source says what this daemon has to tell since the last call.
@@ -69,6 +74,11 @@
 	Collect(loads, placed int) ([]Load, []Placement)
 }
 
+// Suspects learns of requests that have crashed upstreams.
+type Suspects interface {
+	Learn(now time.Time, records []quarantiner.Record)
+}
+
 // Sink takes the notices of other daemons.
 type Sink interface {
 	Hear(now time.Time, n *Notice)
@@ -84,6 +94,7 @@
 	From     uint32
 	Source   Source
 	Sink     Sink
+	Suspects Suspects
 	Recorder *recorder.Recorder
 }
 
@@ -92,7 +103,53 @@
 	config   Config
 	conn     *net.UDPConn
 	sequence uint64
-	seen     map[uint32]uint64 // newest sequence by sender
+	// rumours are the records to tell and how often they were not told yet.
+	mu      sync.Mutex
+	rumours []rumour
+
+	seen map[uint32]uint64 // newest sequence by sender
+}
+
+// rumour is a record that is told several times, because notices are lost.
+type rumour struct {
+	record quarantiner.Record
+	left   int
+}
+
+const (
+	// repeats is how often a record is told.
+	repeats = 5
+	// maxSuspects bounds the records in a notice, so that it fits.
+	maxSuspects = 4
+	// maxRumours bounds the records that wait.
+	maxRumours = 64
+)
+
+// Share tells the other daemons of records with the next notices.
+func (a *Announcer) Share(records []quarantiner.Record) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range records {
+		if len(a.rumours) < maxRumours {
+			a.rumours = append(a.rumours, rumour{r, repeats})
+		}
+	}
+}
+
+// suspects returns the records of the next notice.
+func (a *Announcer) suspects() []quarantiner.Record {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var records []quarantiner.Record
+	for i := range a.rumours {
+		if len(records) == maxSuspects {
+			break
+		}
+		records = append(records, a.rumours[i].record)
+		a.rumours[i].left--
+	}
+	a.rumours = slices.DeleteFunc(a.rumours, func(r rumour) bool { return r.left <= 0 })
+	return records
 }
 
 // maxSenders bounds the senders that are remembered. Restarted daemons are new ones.
@@ -128,11 +185,14 @@
 
 func (a *Announcer) send(peers []netip.AddrPort) {
 	loads, placed := a.config.Source.Collect(maxLoads, maxPlaced)
-	if len(peers) == 0 || len(loads)+len(placed) == 0 {
+	suspects := a.suspects()
+	if len(peers) == 0 || len(loads)+len(placed)+len(suspects) == 0 {
 		return
 	}
 	a.sequence++
-	text, err := cbor.Marshal(Notice{From: a.config.From, Sequence: a.sequence, Loads: loads, Placed: placed})
+	text, err := cbor.Marshal(Notice{
+		From: a.config.From, Sequence: a.sequence, Loads: loads, Placed: placed, Suspects: suspects,
+	})
 	if err != nil {
 		a.config.Recorder.Event(recorder.NoticeFailed, "step", "encode", "err", err)
 		return
@@ -159,6 +219,9 @@
 		}
 		if a.fresh(&notice) {
 			a.config.Sink.Hear(time.Now(), &notice)
+			if len(notice.Suspects) > 0 {
+				a.config.Suspects.Learn(time.Now(), notice.Suspects)
+			}
 		}
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -18,6 +18,8 @@
 type failure struct {
 	retrier.Failure
 	err error
+	// broken is true when the upstream broke off while it had the request.
+	broken bool
 	// reason is that of the refusal if there is no further attempt.
 	reason refuser.Reason
 	// learnt is what the placer hears about the upstream.
@@ -115,6 +117,9 @@
 		answer.Close()
 	}
 	if failed != nil {
+		if failed.broken && ctx.Err() == nil {
+			x.suspect(choice.Upstream.Name, choice.Upstream.Address)
+		}
 		result.Outcome = failed.learnt
 		if ctx.Err() != nil {
 			result.Outcome = placer.Abandoned
@@ -159,6 +164,7 @@
 	}
 	x.sends++
 	x.runs++
+	failed.broken = true
 	failed.Phase = retrier.NoAnswer
 	if x.begun {
 		failed.Phase = retrier.Partial
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -187,6 +187,9 @@
 	if refusal.Ran == refuser.Unknown && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		status = http.StatusBadGateway
 	}
+	if refusal.Reason == refuser.Quarantined {
+		status = http.StatusServiceUnavailable // it ends, so the caller may come back
+	}
 	h := x.writer.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if refusal.RetryAfter > 0 && status != http.StatusBadGateway {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -108,6 +108,9 @@
 	Placer    Placer
 	Sender    Sender
 	Retries   Retries
+	Suspects  Suspects
+	// Probe opens a connection to an upstream and closes it.
+	Probe func(ctx context.Context, address netip.AddrPort) error
 	// Mark writes the marks into the headers of a call.
 	Mark func(h http.Header, m Marks)
 	// Random returns numbers from 0 to below 1.
@@ -153,6 +156,10 @@
 		return
 	}
 	defer x.settle()
+	if refusal := x.quarantined(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
 	if refusal := x.run(ctx); refusal != nil {
 		x.refuse(refusal)
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -88,7 +88,9 @@
 		if err != nil {
 			x.forwarder.config.Recorder.Event(recorder.AnswerBroken, "id", x.request.ID, "last_event", x.lastEvent,
 				"events", x.events, "err", err)
-			return x.broken(err)
+			failed := x.broken(err)
+			failed.broken = true
+			return failed
 		}
 	}
 }
--- /dev/null
+++ b/forwarder/suspect.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"laburnumline/quarantiner"
+	"laburnumline/refuser"
+	"laburnumline/registrar"
+)
+
+// Suspects keeps requests that crash upstreams from crashing more.
+type Suspects interface {
+	// Empty reports whether nothing is suspected.
+	Empty() bool
+	Check(now time.Time, d quarantiner.Digest) quarantiner.Verdict
+	Begin(now time.Time, d quarantiner.Digest, upstream string)
+	End(now time.Time, d quarantiner.Digest, upstream string, crashed bool)
+}
+
+// quarantineTime is when a caller of a quarantined request may come back.
+const quarantineTime = time.Minute
+
+// digest identifies the work of a request, whichever attempt of its caller it is.
+func (x *exchange) digest() quarantiner.Digest {
+	text := make([]byte, 0, len(x.body)+len(x.request.Target)+len(x.request.Key)+16)
+	for _, part := range []string{x.request.Method, x.request.Target, x.request.Key} {
+		text = append(append(text, part...), '\n')
+	}
+	return quarantiner.DigestOf(append(text, x.body...))
+}
+
+// quarantined returns a refusal when the request has crashed too many upstreams.
+func (x *exchange) quarantined() *refuser.Refusal {
+	suspects := x.forwarder.config.Suspects
+	if suspects.Empty() || suspects.Check(time.Now(), x.digest()) != quarantiner.Quarantined {
+		return nil
+	}
+	return refuser.New(refuser.Quarantined, "check").After(quarantineTime).
+		Explain("the request has crashed the upstreams that ran it")
+}
+
+// suspect blames the request for the end of an upstream that broke off while it ran
+// the request and takes no connection any more.
+func (x *exchange) suspect(name registrar.Name, address netip.AddrPort) {
+	digest, config := x.digest(), x.forwarder.config
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+		defer cancel()
+		if config.Probe(ctx, address) == nil {
+			return
+		}
+		now := time.Now()
+		config.Suspects.Begin(now, digest, string(name))
+		config.Suspects.End(now, digest, string(name), true)
+	}()
+}
+
+// probeTime is how long a broken upstream is tried. A living one answers within some
+// round trips.
+const probeTime = 500 * time.Millisecond
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -31,6 +31,7 @@
 	"laburnumline/forwarder"
 	"laburnumline/persister"
 	"laburnumline/placer"
+	"laburnumline/quarantiner"
 	"laburnumline/recorder"
 	"laburnumline/registrar"
 	"laburnumline/retrier"
@@ -118,6 +119,8 @@
 type Daemon struct {
 	config    Config
 	run       contractor.Incarnation
+	suspects  *quarantiner.Quarantiner
+	announcer atomic.Pointer[announcer.Announcer]
 	holder    *director.Holder
 	registrar *registrar.Registrar
 	shares    *apportioner.Apportioner
@@ -140,8 +143,9 @@
 		Store: c.Adapter.Store, Name: s.Name, Address: s.Internal, Incarnation: d.run, Recorder: rec,
 	})
 	d.placer = placer.New(placer.Config{Zone: s.Zone})
+	dial := connector.Dialer(connectTime, silenceTime)
 	d.pool = connector.New(connector.Config{
-		Dial: connector.Dialer(connectTime, silenceTime), Read: c.Adapter.ReadReply, Recorder: rec,
+		Dial: dial, Read: c.Adapter.ReadReply, Recorder: rec,
 	})
 	d.registrar = registrar.New(registrar.Config{Decode: c.Adapter.DecodeUpstream, LastGap: d.lastGap, Recorder: rec})
 	d.routes = follower.New(follower.Config{
@@ -151,7 +155,11 @@
 	d.upstreams = follower.New(follower.Config{
 		Store: c.Adapter.Store, Prefix: c.Adapter.UpstreamPrefix, Recorder: rec, Handler: d.registrar,
 	})
+	d.suspects = quarantiner.New(quarantiner.Config{
+		MaxVictims: maxVictims, Memory: suspectMemory, Share: d.share, Recorder: rec,
+	})
 	d.forwarder = forwarder.New(forwarder.Config{
+		Suspects: d.suspects, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dial, address) },
 		Tables: d.holder, Upstreams: d.registrar, Budgets: d.shares, Placer: d.placer, Sender: d.pool,
 		Retries: retrier.New(retrier.Config{TargetRatio: retryShare * s.RetryRatio, AccountRatio: s.RetryRatio, Recorder: rec}),
 		Mark:    c.Adapter.Mark, Random: rand.Float64, Recorder: rec,
@@ -159,6 +167,33 @@
 	return d
 }
 
+const (
+	// maxVictims is the number of upstreams that a request may crash. The users
+	// count from the third.
+	maxVictims = 3
+	// suspectMemory is how long a request is kept from upstreams after a crash.
+	suspectMemory = time.Minute
+)
+
+// share tells the other daemons of requests that crash upstreams.
+func (d *Daemon) share(records []quarantiner.Record) {
+	if a := d.announcer.Load(); a != nil {
+		a.Share(records)
+	}
+}
+
+// probe opens a connection and closes it.
+func probe(ctx context.Context, dial dialer, address netip.AddrPort) error {
+	conn, err := dial(ctx, "tcp", address.String())
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+// dialer opens connections.
+type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // retryShare is the part of the fleet's retry ratio that daemons use. The rest
 // covers the retries that are saved up from an earlier window.
 const retryShare = 0.6
@@ -207,12 +242,13 @@
 	}
 	a, err := announcer.New(announcer.Config{
 		Address: d.config.Settings.Internal, Peers: d.shares.Peers, From: uint32(d.run),
-		Source: d.placer, Sink: d.placer, Recorder: d.config.Recorder,
+		Source: d.placer, Sink: d.placer, Suspects: d.suspects, Recorder: d.config.Recorder,
 	})
 	if err != nil {
 		d.config.Recorder.Event(recorder.NoticeFailed, "step", "listen", "err", err)
 		return err
 	}
+	d.announcer.Store(a)
 	a.Run(ctx)
 	return nil
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -375,6 +375,13 @@
 	return n
 }
 
+// Empty reports whether nothing is known of any digest.
+func (q *Quarantiner) Empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.records) == 0
+}
+
 // Records returns what is known, for other daemons and for operators.
 func (q *Quarantiner) Records() []Record {
 	q.mu.Lock()
