--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,300 @@
+package connector
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// peer is an upstream that answers as a test says.
+type peer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	opened   int
+}
+
+// listen serves each connection with serve, which gets the number of the connection.
+func listen(t *testing.T, serve func(n int, c net.Conn)) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &peer{listener: l}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.opened++
+			n := p.opened
+			p.mu.Unlock()
+			go serve(n, c)
+		}
+	}()
+	return p
+}
+
+func (p *peer) address() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func (p *peer) connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// request reads one request with its body.
+func request(r *bufio.Reader) (*http.Request, error) {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, q.Body)
+	return q, err
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func newPool() *Pool {
+	return New(Config{
+		Dial: Dialer(time.Second, time.Second),
+		Read: func(h http.Header) Reply { return Reply{ID: h.Get("Id")} },
+	})
+}
+
+func newCall(id string) *Call {
+	return &Call{ID: id, Method: "GET", Host: "a.example", Target: "/x", Header: http.Header{"Id": {id}}}
+}
+
+func TestConnectionsAreKeptOnlyWhenNothingIsLeft(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		opened int
+	}{
+		{"whole answer", answer("1", "ok"), 1},
+		{"bytes after the answer", answer("1", "ok") + "more", 2},
+		{"a second answer", answer("1", "ok") + answer("1", "ok"), 2},
+		{"close", strings.Replace(answer("1", "ok"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := listen(t, func(_ int, c net.Conn) {
+				r := bufio.NewReader(c)
+				for {
+					if _, err := request(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, tt.answer)
+				}
+			})
+			pool := newPool()
+			for range 2 {
+				a, err := pool.Send(t.Context(), p.address(), newCall("1"))
+				require.NoError(t, err)
+				body, err := io.ReadAll(a.Body)
+				require.NoError(t, err)
+				require.Equal(t, "ok", string(body))
+				a.Close()
+			}
+			require.Equal(t, tt.opened, p.connections())
+		})
+	}
+}
+
+func TestAnswersToEarlierCallsAreSkipped(t *testing.T) {
+	p := listen(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := request(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer("old", "no")+answer("", "no")+answer("2", "yes"))
+	})
+	a, err := newPool().Send(t.Context(), p.address(), newCall("2"))
+	require.NoError(t, err)
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	require.Equal(t, "yes", string(body))
+}
+
+func TestFailuresSayWhetherTheRequestWasWritten(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	nobody := closed.Addr().(*net.TCPAddr).AddrPort()
+	closed.Close()
+	reply := func(text string) netip.AddrPort {
+		return listen(t, func(_ int, c net.Conn) {
+			if _, err := request(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, text)
+			}
+			c.Close()
+		}).address()
+	}
+	tests := []struct {
+		name    string
+		address netip.AddrPort
+		written bool
+		refused bool
+	}{
+		{"nobody listens", nobody, false, true},
+		{"closed without an answer", reply(""), true, false},
+		{"bytes that are no answer", reply("garbage\r\n\r\n"), true, false},
+		{"answer to another call", reply(answer("other", "no")), true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := newPool().Send(t.Context(), tt.address, newCall("1"))
+			var failure *Failure
+			require.True(t, errors.As(err, &failure), "%v", err)
+			require.Equal(t, tt.written, failure.Written)
+			require.Equal(t, tt.refused, failure.Refused)
+			require.Equal(t, tt.address, failure.Peer)
+		})
+	}
+}
+
+func TestTornBodyIsAnError(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"short of its length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhalf"},
+		{"chunks without end", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := listen(t, func(_ int, c net.Conn) {
+				if _, err := request(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, tt.text)
+				}
+				c.Close()
+			})
+			a, err := newPool().Send(t.Context(), p.address(), newCall("1"))
+			require.NoError(t, err)
+			_, err = io.ReadAll(a.Body)
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			a.Close()
+		})
+	}
+}
+
+func TestUnframedAnswerThatIsResetIsNotWhole(t *testing.T) {
+	p := listen(t, func(_ int, c net.Conn) {
+		if _, err := request(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf")
+		}
+		time.Sleep(50 * time.Millisecond) // the reset must not overtake the bytes
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	})
+	a, err := newPool().Send(t.Context(), p.address(), newCall("1"))
+	require.NoError(t, err)
+	defer a.Close()
+	_, err = io.ReadAll(a.Body)
+	require.Error(t, err)
+}
+
+func TestEarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	p := listen(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer("1", "early"))
+		// Nothing of the body is read: other bytes must not come in its place.
+	})
+	pool := newPool()
+	call := newCall("1")
+	call.Method, call.Body = "POST", bytes.Repeat([]byte("x"), 32<<20)
+	a, err := pool.Send(t.Context(), p.address(), call)
+	require.NoError(t, err)
+	body, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	require.Equal(t, "early", string(body))
+	a.Close()
+	require.Nil(t, pool.take(p.address()), "the connection is not kept")
+}
+
+func TestIdleConnectionWithBytesIsNotUsed(t *testing.T) {
+	late := make(chan struct{})
+	p := listen(t, func(n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			if _, err := request(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer("1", "ok"))
+			if n == 1 {
+				_, _ = io.WriteString(c, answer("1", "late"))
+				close(late)
+			}
+		}
+	})
+	pool := newPool()
+	a, err := pool.Send(t.Context(), p.address(), newCall("1"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(a.Body)
+	require.NoError(t, err)
+	<-late
+	a.Close()
+	b, err := pool.Send(t.Context(), p.address(), newCall("1"))
+	require.NoError(t, err)
+	body, err := io.ReadAll(b.Body)
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(body))
+	b.Close()
+	require.Equal(t, 2, p.connections())
+}
+
+func TestEndOfTheContextBreaksOff(t *testing.T) {
+	gone := make(chan struct{})
+	p := listen(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := request(r); err != nil {
+			return
+		}
+		_, _ = r.ReadByte() // returns when the caller closes
+		close(gone)
+	})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cause := errors.New("the caller has left")
+	time.AfterFunc(20*time.Millisecond, func() { cancel(cause) })
+	_, err := newPool().Send(ctx, p.address(), newCall("1"))
+	require.ErrorIs(t, err, cause)
+	<-gone
+}
+
+func TestOldIdleConnectionsAreClosed(t *testing.T) {
+	p := listen(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			if _, err := request(r); err != nil {
+				return
+			}
+			text := strings.Replace(answer("1", "ok"), "\r\n\r\n", "\r\nKeep-Alive: timeout=2\r\n\r\n", 1)
+			_, _ = io.WriteString(c, text)
+		}
+	})
+	pool := newPool()
+	a, err := pool.Send(t.Context(), p.address(), newCall("1"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(a.Body)
+	require.NoError(t, err)
+	a.Close()
+	pool.Sweep(time.Now())
+	require.Len(t, pool.idle[p.address()], 1)
+	pool.Sweep(time.Now().Add(1500 * time.Millisecond))
+	require.Empty(t, pool.idle[p.address()], "before the upstream closes it")
+}
--- /dev/null
+++ b/director/director_test.go
@@ -0,0 +1,106 @@
+package director
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func document() Document {
+	share := func(name ServiceName) []Share { return []Share{{Service: name, Weight: 1}} }
+	return Document{
+		Version:  3,
+		Services: []Service{{Name: "drafts"}, {Name: "orders"}},
+		Routes: []Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Shares: share("drafts")},
+			{Name: "deep", Host: "a.example", Prefix: "/orders/new/", Shares: share("orders")},
+			{Name: "orders", Host: "a.example", Prefix: "/orders/", Shares: share("orders")},
+		},
+		Accounts: []Account{{Name: "loft-7", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+func TestRoute(t *testing.T) {
+	table, err := NewTable(document())
+	require.NoError(t, err)
+	tests := []struct {
+		name, host, path, want string
+	}{
+		{"shortest prefix", "a.example", "/x", "all"},
+		{"longer prefix", "a.example", "/orders/7", "orders"},
+		{"longest prefix", "a.example", "/orders/new/7", "deep"},
+		{"prefix ends at a slash", "a.example", "/orders", "all"},
+		{"host without case, with port", "A.Example:8080", "/orders/7", "orders"},
+		{"unknown host", "b.example", "/orders/7", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			route, ok := table.Route(tt.host, tt.path)
+			require.Equal(t, tt.want != "", ok)
+			if ok {
+				require.Equal(t, tt.want, route.Name)
+			}
+		})
+	}
+}
+
+func TestNewTableNamesTheEntryAtFault(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Document)
+		want   string
+	}{
+		{"prefix without slash", func(d *Document) { d.Routes[1].Prefix = "/x" }, `route "deep"`},
+		{"no service", func(d *Document) { d.Routes[0].Shares = nil }, `route "all"`},
+		{"unknown service", func(d *Document) { d.Routes[2].Shares[0].Service = "x" }, `unknown service "x"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := document()
+			tt.change(&d)
+			_, err := NewTable(d)
+			require.ErrorContains(t, err, tt.want)
+			require.ErrorContains(t, err, "configuration 3")
+		})
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := Route{Shares: []Share{{"a", 90}, {"none", 0}, {"b", 10}}}
+	require.Equal(t, ServiceName("a"), r.Pick(0))
+	require.Equal(t, ServiceName("a"), r.Pick(0.89))
+	require.Equal(t, ServiceName("b"), r.Pick(0.91))
+	require.Equal(t, ServiceName("b"), r.Pick(0.999))
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	var h Holder
+	require.Nil(t, h.Table())
+	for _, step := range []struct {
+		version int64
+		taken   bool
+	}{{5, true}, {4, false}, {5, false}, {9, true}} {
+		d := document()
+		d.Version = step.version
+		table, err := NewTable(d)
+		require.NoError(t, err)
+		require.Equal(t, step.taken, h.Replace(table))
+	}
+	require.Equal(t, int64(9), h.Table().Version())
+}
+
+func TestOnlyRepeatableRequestsRunAgain(t *testing.T) {
+	tests := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Repetition: Once}, false},
+		{Route{Repetition: Once, Resumable: true}, false},
+		{Route{Repetition: Repeatable}, true},
+		{Route{Repetition: Stream}, false},
+		{Route{Repetition: Stream, Resumable: true}, true},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, tt.route.MayRunAgain(), "%s, resumable %v", tt.route.Repetition, tt.route.Resumable)
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -55,6 +55,7 @@
 	config  Config
 	after   contractor.Revision
 	loaded  bool
+	read    atomic.Bool  // all keys were read once
 	contact atomic.Int64 // time of the last answer, in nanoseconds since start
 	gap     atomic.Int64 // time of the last failed call, likewise, or 0
 	start   time.Time
@@ -66,7 +67,7 @@
 }
 
 // Loaded reports whether all keys were read at least once.
-func (f *Follower) Loaded() bool { return f.contact.Load() > 0 }
+func (f *Follower) Loaded() bool { return f.read.Load() }
 
 // Age returns the time since the store last answered.
 func (f *Follower) Age(now time.Time) time.Duration {
@@ -158,6 +159,7 @@
 	}
 	f.config.Handler.Reset(entries)
 	f.after, f.loaded = first, true
+	f.read.Store(true)
 	return nil
 }
 
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,109 @@
+package follower
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumline/emulator"
+	"laburnumline/persister"
+)
+
+// mirror is a handler that keeps what it is told.
+type mirror struct {
+	mu     sync.Mutex
+	keys   map[string]string
+	resets int
+}
+
+func (m *mirror) Reset(entries []persister.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keys = make(map[string]string)
+	m.resets++
+	for _, e := range entries {
+		m.keys[e.Key] = string(e.Value)
+	}
+}
+
+func (m *mirror) Apply(c persister.Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.Deleted {
+		delete(m.keys, c.Entry.Key)
+		return
+	}
+	m.keys[c.Entry.Key] = string(c.Entry.Value)
+}
+
+func (m *mirror) get(key string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.keys[key]
+}
+
+func start(store persister.Store) (*Follower, *mirror, context.CancelFunc) {
+	m := &mirror{}
+	f := New(Config{Store: store, Prefix: "op/", Handler: m})
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.Run(ctx)
+	return f, m, cancel
+}
+
+func TestFollowsAllPagesAndChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		for i := range pageSize + 7 {
+			store.PutOperator("op/"+strconv.Itoa(1000+i), []byte("old"))
+		}
+		f, m, stop := start(store)
+		defer stop()
+		time.Sleep(time.Second)
+		require.True(t, f.Loaded())
+		require.Len(t, m.keys, pageSize+7)
+		store.PutOperator("op/1000", []byte("new"))
+		store.RemoveOperator("op/1001")
+		time.Sleep(time.Second)
+		require.Equal(t, "new", m.get("op/1000"))
+		require.Equal(t, "", m.get("op/1001"))
+	})
+}
+
+func TestReadsAgainWhenTheHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		store.PutOperator("op/config", []byte("1"))
+		_, m, stop := start(store)
+		defer stop()
+		time.Sleep(time.Second)
+		store.SetFaults(emulator.StoreFaults{HoldEvents: true})
+		store.PutOperator("op/config", []byte("2"))
+		store.Compact(store.Revision())
+		store.SetFaults(emulator.StoreFaults{})
+		time.Sleep(time.Second)
+		require.Equal(t, "2", m.get("op/config"))
+		require.Equal(t, 2, m.resets)
+	})
+}
+
+func TestNotesGapsAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		store.SetFaults(emulator.StoreFaults{Outage: true})
+		f, m, stop := start(store)
+		defer stop()
+		time.Sleep(5 * time.Second)
+		require.False(t, f.Loaded())
+		require.Less(t, time.Since(f.LastGap()), time.Second)
+		store.PutOperator("op/config", []byte("1"))
+		store.SetFaults(emulator.StoreFaults{})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "1", m.get("op/config"))
+		require.Less(t, f.Age(time.Now()), 2*time.Second)
+	})
+}
