--- a/connector/answer.go
+++ b/connector/answer.go
@@ -147,9 +147,10 @@
 	return 0, false
 }
 
-// Close ends the answer. The connection is kept when nothing is left on it.
+// Close ends the answer. The connection is kept when nothing is left on it. An
+// answer that was made without a connection has nothing to close.
 func (a *Answer) Close() {
-	if a.closed {
+	if a.closed || a.connection == nil {
 		return
 	}
 	a.closed = true
