--- /dev/null
+++ b/emulator/runner.go
@@ -0,0 +1,168 @@
+package emulator
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// RunnerFault is how a Runner treats one request.
+type RunnerFault uint8
+
+const (
+	// RunnerSound runs the request and answers it.
+	RunnerSound RunnerFault = iota
+	// RunnerFull refuses the request, which does not run.
+	RunnerFull
+	// RunnerElse answers that another upstream has the address.
+	RunnerElse
+	// RunnerLost runs the request and loses the answer with its connection.
+	RunnerLost
+	// RunnerTorn breaks the answer off in its middle.
+	RunnerTorn
+	// RunnerFails runs the request and answers with a failure of its own.
+	RunnerFails
+)
+
+// RunnerRun is one request that a Runner has begun to work on.
+type RunnerRun struct {
+	ID, Path, Account, Body, ResumeAfter string
+}
+
+// RunnerConfig describes a Runner.
+type RunnerConfig struct {
+	// Name is the id that requests may expect.
+	Name string
+	// Events is the number of events of a stream. Zero makes plain answers.
+	Events int
+	// Gap is the time between two events.
+	Gap time.Duration
+}
+
+// Runner is an upstream that speaks the users' platform's way.
+type Runner struct {
+	loopback
+	config RunnerConfig
+
+	mu     sync.Mutex
+	faults []RunnerFault
+	runs   []RunnerRun
+}
+
+// NewRunner returns a runner. Serve starts it.
+func NewRunner(c RunnerConfig) *Runner { return &Runner{config: c} }
+
+// Serve starts the runner on a loopback address, which it returns.
+func (r *Runner) Serve() (string, error) { return r.serve(r) }
+
+// Inject makes the next requests meet faults, in order.
+func (r *Runner) Inject(faults ...RunnerFault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, faults...)
+}
+
+// Runs returns the requests that ran so far.
+func (r *Runner) Runs() []RunnerRun {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]RunnerRun(nil), r.runs...)
+}
+
+func (r *Runner) fault() RunnerFault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.faults) == 0 {
+		return RunnerSound
+	}
+	next := r.faults[0]
+	r.faults = r.faults[1:]
+	return next
+}
+
+// ServeHTTP runs one request.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return // the caller has gone
+	}
+	h := w.Header()
+	h.Set("Attempt-Id", q.Header.Get("Attempt-Id"))
+	fault := r.fault()
+	if expected := q.Header.Get("Expected-Runner"); expected != "" && expected != r.config.Name {
+		fault = RunnerElse
+	}
+	switch fault {
+	case RunnerFull:
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case RunnerElse:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mu.Lock()
+	r.runs = append(r.runs, RunnerRun{
+		ID: q.Header.Get("Attempt-Id"), Path: q.URL.Path, Account: q.Header.Get("Tenant"),
+		Body: string(body), ResumeAfter: q.Header.Get("Last-Event-Id"),
+	})
+	r.mu.Unlock()
+	h.Set("Runner-Signature", "signed by "+r.config.Name)
+	r.answer(w, q, fault)
+}
+
+func (r *Runner) answer(w http.ResponseWriter, q *http.Request, fault RunnerFault) {
+	switch {
+	case fault == RunnerLost:
+		panic(http.ErrAbortHandler)
+	case fault == RunnerFails:
+		w.WriteHeader(http.StatusInternalServerError)
+	case r.config.Events > 0:
+		r.stream(w, q, fault)
+	case fault == RunnerTorn:
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half") // the connection ends here in any case
+		panic(http.ErrAbortHandler)
+	default:
+		_, _ = io.WriteString(w, "done "+q.URL.Path) // an error means that the caller has gone
+	}
+}
+
+// stream sends the events after the one that the caller has. A torn stream ends in
+// the middle of an event.
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, fault RunnerFault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	after := 0
+	// Anything but a number is a caller that has no event yet.
+	_, _ = fmt.Sscan(q.Header.Get("Last-Event-Id"), &after)
+	for i := after + 1; i <= r.config.Events; i++ {
+		text := RunnerEvent(i)
+		if fault == RunnerTorn && i == after+(r.config.Events-after+1)/2 {
+			_, _ = io.WriteString(w, text[:len(text)/2])
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, text); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush() // the next write shows a caller that has gone
+		if waitFor(q.Context(), r.config.Gap) != nil {
+			return
+		}
+	}
+}
+
+// RunnerEvent returns the event with a number.
+func RunnerEvent(i int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i) }
+
+// RunnerStream returns the whole stream of a runner with so many events.
+func RunnerStream(events int) string {
+	var b strings.Builder
+	for i := 1; i <= events; i++ {
+		b.WriteString(RunnerEvent(i))
+	}
+	return b.String()
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -87,6 +87,8 @@
 type Config struct {
 	Settings Settings
 	Adapter  Adapter
+	// Listen opens listeners. Nil means net.Listen for TCP.
+	Listen func(address netip.AddrPort) (net.Listener, error)
 	// Metrics is the address of the counters. The zero value means none.
 	Metrics  netip.AddrPort
 	Recorder *recorder.Recorder
@@ -136,6 +138,9 @@
 
 // New joins the parts of a daemon.
 func New(c Config) *Daemon {
+	if c.Listen == nil {
+		c.Listen = listen
+	}
 	d := &Daemon{config: c, holder: &director.Holder{}}
 	s, rec := c.Settings, c.Recorder
 	d.run = contractor.Incarnation(rand.Uint64())
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -33,7 +33,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTime, ErrorLog: d.config.Recorder.HTTPErrorLog("ready")}
-	listener, err := listen(d.config.Settings.Ready)
+	listener, err := d.config.Listen(d.config.Settings.Ready)
 	if err != nil {
 		return nil, err
 	}
@@ -41,7 +41,7 @@
 	if !d.config.Metrics.IsValid() {
 		return server, nil
 	}
-	counters, err := listen(d.config.Metrics)
+	counters, err := d.config.Listen(d.config.Metrics)
 	if err != nil {
 		return nil, errors.Join(err, server.Close())
 	}
@@ -54,7 +54,7 @@
 	if table := d.holder.Table(); table != nil {
 		limits = table.Limits()
 	}
-	listener, err := listen(d.config.Settings.Front)
+	listener, err := d.config.Listen(d.config.Settings.Front)
 	if err != nil {
 		return nil, err
 	}
