--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -106,8 +106,6 @@
 	// slack is by how much a share may differ from its target before it is changed,
 	// so that rounds end.
 	slack = 0.1
-	// minDemandChange is the change of demand that is worth a write.
-	minDemandChange = 0.1
 )
 
 // position is what a daemon has and needs of one account.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -56,6 +56,9 @@
 			return x.ended(refusal)
 		}
 		x.tried = append(x.tried, choice.Upstream.Name)
+		if decision.Resume {
+			f.Recorder.Event(recorder.StreamResumed, "id", x.request.ID, "after", x.lastEvent, "from", choice.Upstream.Name)
+		}
 		if !sleep(ctx, decision.Delay) {
 			return x.stopped(ctx, choice)
 		}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -42,7 +42,6 @@
 	replies []reply
 	calls   []*connector.Call
 	sentTo  []netip.AddrPort
-	charged contractor.Tokens
 	refusal *refuser.Refusal
 	table   *director.Table
 	list    []registrar.Upstream
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -166,12 +166,16 @@
 	d.forwarder = forwarder.New(forwarder.Config{
 		Suspects: d.suspects, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dial, address) },
 		Tables: d.holder, Upstreams: d.registrar, Budgets: d.shares, Placer: d.placer, Sender: d.pool,
-		Retries: retrier.New(retrier.Config{TargetRatio: retryShare * s.RetryRatio, AccountRatio: s.RetryRatio, Recorder: rec}),
+		Retries: retrier.New(retrier.Config{TargetRatio: retryShare * s.RetryRatio, AccountRatio: s.RetryRatio, Base: retryBase, Recorder: rec}),
 		Mark:    c.Adapter.Mark, Random: rand.Float64, Recorder: rec,
 	})
 	return d
 }
 
+// retryBase is the mean delay before a second attempt. The shortest objective is 120 ms,
+// and the next attempt goes to another upstream.
+const retryBase = 4 * time.Millisecond
+
 const (
 	// maxVictims is the number of upstreams that a request may crash. The users
 	// count from the third.
