apportioner, follower: intervals that grow with the fleet

Change: rounds and leases are stretched beyond 28 daemons; watches wait longer there, and daemons tell each other the newest changes, so that a watch that hears nothing is asked again.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -22,6 +22,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"laburnumline/contractor"
 	"laburnumline/quarantiner"
 	"laburnumline/recorder"
 )
@@ -67,6 +68,9 @@
 	Placed   []Placement
 	// Suspects are requests that have crashed upstreams.
 	Suspects []quarantiner.Record
+	// Revisions are the newest changes of the store's prefixes that the daemon
+	// follows, in an order that all daemons share.
+	Revisions []contractor.Revision
 }
 
 // Source says what this daemon has to tell since the last call.
@@ -74,6 +78,12 @@
 	Collect(loads, placed int) ([]Load, []Placement)
 }
 
+// Revisions tells and hears of the newest changes in the store.
+type Revisions interface {
+	Revisions() []contractor.Revision
+	Learn(revisions []contractor.Revision)
+}
+
 // Suspects learns of requests that have crashed upstreams.
 type Suspects interface {
 	Learn(now time.Time, records []quarantiner.Record)
@@ -95,6 +105,7 @@
 	Source   Source
 	Sink     Sink
 	Suspects Suspects
+	Changes  Revisions
 	Recorder *recorder.Recorder
 }
 
@@ -192,6 +203,7 @@
 	a.sequence++
 	text, err := cbor.Marshal(Notice{
 		From: a.config.From, Sequence: a.sequence, Loads: loads, Placed: placed, Suspects: suspects,
+		Revisions: a.config.Changes.Revisions(),
 	})
 	if err != nil {
 		a.config.Recorder.Event(recorder.NoticeFailed, "step", "encode", "err", err)
@@ -219,6 +231,7 @@
 		}
 		if a.fresh(&notice) {
 			a.config.Sink.Hear(time.Now(), &notice)
+			a.config.Changes.Learn(notice.Revisions)
 			if len(notice.Suspects) > 0 {
 				a.config.Suspects.Learn(time.Now(), notice.Suspects)
 			}
--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -144,7 +144,7 @@
 func (a *Apportioner) stage() int {
 	now := a.config.Now()
 	for i := range stages {
-		if !a.rounds.joined || now.Before(a.lockedUntil(i)) {
+		if !a.rounds.joined || now.Before(a.rounds.lockedUntil[i]) {
 			return i
 		}
 	}
@@ -156,22 +156,17 @@
 func (a *Apportioner) unlocksAfter(s *account, most contractor.Tokens) time.Duration {
 	for i := a.stage(); i < len(stages); i++ {
 		if s.free(i+1) >= most {
-			return max(a.lockedUntil(i).Sub(a.config.Now()), retryElsewhere)
+			return max(a.rounds.lockedUntil[i].Sub(a.config.Now()), retryElsewhere)
 		}
 	}
 	return retryElsewhere
 }
 
-// lockedUntil is when the leases of a stage have ended in any case.
-func (a *Apportioner) lockedUntil(stage int) time.Time {
-	return a.rounds.leasedAt[stage].Add(stages[stage].lease + leaseMargin)
-}
-
 // obtainable is the most that a round can bring now, besides what other requests
 // have reserved or wait for. What the pool has is not known for long, unless the
 // account is as good as used up.
 func (a *Apportioner) obtainable(name contractor.Account, s *account) contractor.Tokens {
-	if a.config.Now().Sub(a.rounds.dealtAt) >= urgentDeal && !a.nearlySpent(name) {
+	if a.config.Now().Sub(a.rounds.dealtAt) >= a.paced(urgentDeal) && !a.nearlySpent(name) {
 		return a.bounds[name]
 	}
 	inPool := max(a.bounds[name]-a.rounds.pool.sums(name).Granted, 0)
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -112,6 +112,11 @@
 	demandExcess = 1.5
 )
 
+// smallFleet is the number of daemons up to which the intervals hold as they are. In
+// a larger fleet all of them grow in proportion, because the store's rates and prices
+// do not grow with the fleet.
+const smallFleet = 28
+
 // stages are how a grant is unlocked while the store is away.
 var stages = [...]stage{
 	// A killed daemon's last round is up to 0.8 s old, and it is back within about 1.5 s.
@@ -190,8 +195,9 @@
 	before int
 	// dealtAt is when the daemon last dealt.
 	dealtAt time.Time
-	// leasedAt is when the daemon last got a lease of a stage.
-	leasedAt [len(stages)]time.Time
+	// leasedAt is when the daemon last got a lease of a stage, and lockedUntil when
+	// all of its leases have ended in any case.
+	leasedAt, lockedUntil [len(stages)]time.Time
 	// asked is when the round under way began, or the zero time.
 	asked   time.Time
 	failing bool
@@ -274,6 +280,18 @@
 	return s
 }
 
+// paced stretches an interval with the size of the fleet. The lock is held.
+func (a *Apportioner) paced(d time.Duration) time.Duration {
+	members := max(len(a.rounds.pool.Members), smallFleet)
+	return d * time.Duration(members) / smallFleet
+}
+
+// leaseTime is the time of a stage's lease: longer by what rounds are longer in a
+// large fleet. The lock is held.
+func (a *Apportioner) leaseTime(stage int) time.Duration {
+	return stages[stage].lease + a.paced(roundInterval) - roundInterval
+}
+
 // kick asks for a round at once.
 func (a *Apportioner) kick() { ask(a.kicked) }
 
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -114,6 +114,8 @@
 	reserved, needed contractor.Tokens
 	prepaid          contractor.Tokens
 	rate             float64 // demand in tokens per second
+	// locked is how long the open part has to last without the store.
+	locked time.Duration
 	// fullness is the part of the balance that is not spent.
 	fullness float64
 	members  int
@@ -146,7 +148,7 @@
 	var limits [len(stages)]contractor.Tokens
 	held := float64(q.Granted - q.Spent)
 	share := openShare + fullOpenShare*q.fullness*q.fullness
-	part := min(q.rate*stages[stageOpen].lease.Seconds(), held*share)
+	part := min(q.rate*q.locked.Seconds(), held*share)
 	for i, t := range stages {
 		part += max(demandExcess*q.rate*t.cover.Seconds(), held*t.share)
 		limits[i] = min(q.Granted, q.Spent+q.reserved+q.needed+contractor.Tokens(part))
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -33,7 +33,10 @@
 // wait waits for the next round: until the interval has passed, until a request
 // waits for tokens, or until open parts are nearly used up.
 func (a *Apportioner) wait(ctx context.Context, begun time.Time, interval time.Duration) {
-	if !pause(ctx, kickInterval-a.config.Now().Sub(begun)) {
+	a.mu.Lock()
+	shortest, soon := a.paced(kickInterval), a.paced(openInterval)
+	a.mu.Unlock()
+	if !pause(ctx, shortest-a.config.Now().Sub(begun)) {
 		return
 	}
 	timer := time.NewTimer(interval)
@@ -49,13 +52,16 @@
 			return
 		case <-opening:
 			opening = nil
-			timer.Reset(max(openInterval-a.config.Now().Sub(begun), 0))
+			timer.Reset(max(soon-a.config.Now().Sub(begun), 0))
 		}
 	}
 }
 
 func (a *Apportioner) interval() time.Duration {
-	return roundInterval*3/4 + rand.N(roundInterval/2)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	mean := a.paced(roundInterval)
+	return mean*3/4 + rand.N(mean/2)
 }
 
 // pause waits and reports whether ctx goes on.
@@ -166,8 +172,11 @@
 		if err != nil {
 			return err
 		}
+		a.mu.Lock()
+		ttl := a.leaseTime(before)
+		a.mu.Unlock()
 		elapsed := a.config.Now().Sub(time.UnixMilli(old.Stamp)).Abs()
-		if lock.Revision > 0 && elapsed < stages[before].lease+clockTolerance {
+		if lock.Revision > 0 && elapsed < ttl+clockTolerance {
 			break
 		}
 	}
@@ -289,7 +298,7 @@
 	if since >= max(dealInterval, time.Duration(len(r.pool.Members))*dealPerMember) {
 		return true
 	}
-	if since < urgentDeal {
+	if since < a.paced(urgentDeal) {
 		return false
 	}
 	for _, s := range a.accounts {
@@ -329,7 +338,7 @@
 			holding: next, reserved: s.reserved, needed: s.needed, rate: s.demandNow(now),
 			// An account that lost its bound has none here, and gives its share back.
 			prepaid: a.bounds[name], members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
-			fullness: a.fullness(name),
+			fullness: a.fullness(name), locked: a.leaseTime(stageOpen),
 		}
 		if p.deals {
 			next.Demand = float32(q.rate)
@@ -431,16 +440,18 @@
 	for i, t := range stages {
 		a.mu.Lock()
 		due := a.config.Now().Sub(a.rounds.leasedAt[i]) >= t.renewal
+		ttl := a.leaseTime(i)
 		a.mu.Unlock()
 		if !due {
 			continue
 		}
-		id, err := a.grantLease(ctx, t.lease)
+		id, err := a.grantLease(ctx, ttl)
 		if err != nil {
 			return err
 		}
 		a.mu.Lock()
-		a.rounds.leasedAt[i] = a.config.Now()
+		now := a.config.Now()
+		a.rounds.leasedAt[i], a.rounds.lockedUntil[i] = now, now.Add(ttl+leaseMargin)
 		a.mu.Unlock()
 		p.txn.Puts = append(p.txn.Puts, persister.Put{
 			Key: a.lockKey(a.config.Incarnation, i), Value: []byte(t.name), Lease: id,
--- a/cmd/laburnumline/launch.go
+++ b/cmd/laburnumline/launch.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -23,10 +24,14 @@
 	storeSilenceTime = time.Second
 	// storeCallTime bounds a call; a slow store takes up to 100 times as long as usual.
 	storeCallTime = 1500 * time.Millisecond
-	// storeWatchTime is how long a watch waits. A store that has dropped its history
-	// tells a waiting watch nothing, and a change has to be in force within 2 s.
-
-	storeWatchTime = 1500 * time.Millisecond
+	// storeWatchTime is how long a watch of a small fleet waits. A store that has
+	// dropped its history tells a waiting watch nothing, and a change has to be in
+	// force within 2 s. In a larger fleet some watch ends soon enough, and its daemon
+	// tells the others, so each waits watchPerMember for each daemon, up to
+	// longestWatchTime.
+	storeWatchTime   = 1500 * time.Millisecond
+	watchPerMember   = 100 * time.Millisecond
+	longestWatchTime = 10 * time.Second
 
 	// collectPercent lets the heap grow before it is collected: processor time is
 	// scarcer than memory, which collectShare bounds.
@@ -35,6 +40,14 @@
 	collectShare = 0.6
 )
 
+// watchTime is how long a watch waits in the daemon's fleet.
+func watchTime(d *launcher.Daemon) time.Duration {
+	if d == nil {
+		return storeWatchTime
+	}
+	return min(max(time.Duration(d.Members())*watchPerMember, storeWatchTime), longestWatchTime)
+}
+
 type launchCommand struct {
 	parsed
 	Settings string `long:"settings" description:"settings file of the platform; the default is the file that the environment names"`
@@ -58,9 +71,10 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(collectShare * float64(settings.Memory)))
 	}
+	var daemon atomic.Pointer[launcher.Daemon]
 	store := platform.NewStore(platform.StoreConfig{
 		Address: settings.Store.String(), Dial: connector.Dialer(storeConnectTime, storeSilenceTime),
-		CallTime: storeCallTime, WatchTime: storeWatchTime,
+		CallTime: storeCallTime, WatchTime: func() time.Duration { return watchTime(daemon.Load()) },
 	})
 	rec := recorder.New()
 	config := launcher.Config{Settings: settings, Adapter: platform.Adapter(store), Recorder: rec}
@@ -68,7 +82,8 @@
 		config.Metrics = netip.AddrPortFrom(settings.Front.Addr(), k.Metrics)
 	}
 	go watchSettings(e.ctx, path, settings, store, rec)
-	if err := launcher.New(config).Run(e.ctx); err != nil {
+	daemon.Store(launcher.New(config))
+	if err := daemon.Load().Run(e.ctx); err != nil {
 		return fmt.Errorf("daemon %s: %w", settings.Name, err)
 	}
 	return nil
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -30,6 +30,8 @@
 	// times in that time.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 500 * time.Millisecond
+	// ownTime is how much longer a watch may take to tell a change than another daemon.
+	ownTime = 200 * time.Millisecond
 	// pageSize is the most items that the store returns at once.
 	pageSize = 500
 )
@@ -59,11 +61,16 @@
 	contact atomic.Int64 // time of the last answer, in nanoseconds since start
 	gap     atomic.Int64 // time of the last failed call, likewise, or 0
 	start   time.Time
+	// changed is the revision of the newest change that was applied.
+	changed atomic.Int64
+	// known is the revision up to which all changes were told.
+	known atomic.Int64
+	poke  chan struct{}
 }
 
 // New returns a follower that has read nothing.
 func New(c Config) *Follower {
-	return &Follower{config: c, start: time.Now()}
+	return &Follower{config: c, start: time.Now(), poke: make(chan struct{}, 1)}
 }
 
 // Loaded reports whether all keys were read at least once.
@@ -83,6 +90,22 @@
 	return f.start.Add(time.Duration(gap))
 }
 
+// Changed returns the revision of the newest change that was applied.
+func (f *Follower) Changed() contractor.Revision { return contractor.Revision(f.changed.Load()) }
+
+// Learn hears from elsewhere that the prefix has changed at a revision. A watch that
+// has not told so is asked again, because a store that discards its history may
+// tell a waiting watch nothing.
+func (f *Follower) Learn(revision contractor.Revision) {
+	if int64(revision) <= f.known.Load() || !f.Loaded() {
+		return
+	}
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
@@ -124,11 +147,51 @@
 		f.answered()
 		answered()
 	}
+	return f.watch(ctx, answered)
+}
+
+// watch watches until an error, or until somebody has heard of a change that this
+// watch has not told.
+func (f *Follower) watch(ctx context.Context, answered func()) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	poked := make(chan bool)
+	go func() { poked <- f.awaitPoke(ctx, cancel) }()
+	err := f.follow(ctx, answered)
+	cancel()
+	if <-poked {
+		return nil
+	}
+	return err
+}
+
+// awaitPoke cancels a watch that does not tell what others have heard of, and
+// reports whether it did.
+func (f *Follower) awaitPoke(ctx context.Context, cancel context.CancelFunc) bool {
+	known := f.known.Load()
+	for {
+		select {
+		case <-f.poke:
+		case <-ctx.Done():
+			return false
+		}
+		sleep(ctx, ownTime) // the watch's own answer may be under way
+		if f.known.Load() == known && ctx.Err() == nil {
+			cancel()
+			return true
+		}
+		known = f.known.Load()
+	}
+}
+
+func (f *Follower) follow(ctx context.Context, answered func()) error {
 	return f.config.Store.Watch(ctx, f.config.Prefix, f.after, func(b persister.Batch) error {
 		for _, change := range b.Changes {
 			f.config.Handler.Apply(change)
+			f.changed.Store(max(f.changed.Load(), int64(change.Entry.Revision)))
 		}
 		f.after = max(f.after, b.Revision)
+		f.known.Store(int64(f.after))
 		f.answered()
 		answered()
 		return nil
@@ -158,7 +221,11 @@
 		after = page.Entries[len(page.Entries)-1].Key
 	}
 	f.config.Handler.Reset(entries)
+	for _, e := range entries {
+		f.changed.Store(max(f.changed.Load(), int64(e.Revision)))
+	}
 	f.after, f.loaded = first, true
+	f.known.Store(int64(first))
 	f.read.Store(true)
 	return nil
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumline/contractor"
 	"laburnumline/emulator"
 	"laburnumline/persister"
 )
@@ -107,3 +108,40 @@
 		require.Less(t, f.Age(time.Now()), 2*time.Second)
 	})
 }
+
+// A store that is about to discard its history tells a waiting watch nothing.
+func TestWatchIsAskedAgainAfterNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		store.PutOperator("op/config", []byte("1"))
+		f, m, stop := start(&deaf{Store: store})
+		defer stop()
+		time.Sleep(time.Second)
+		store.PutOperator("op/config", []byte("2"))
+		time.Sleep(time.Second)
+		require.Equal(t, "1", m.get("op/config"), "the watch hears nothing")
+		store.Compact(store.Revision())
+		f.Learn(f.Changed())
+		time.Sleep(time.Second)
+		require.Equal(t, "1", m.get("op/config"), "no news")
+		f.Learn(store.Revision())
+		time.Sleep(time.Second)
+		require.Equal(t, "2", m.get("op/config"))
+		require.Zero(t, f.LastGap(), "an own restart is no gap")
+	})
+}
+
+// deaf is a store whose first watch hears nothing until it is cancelled.
+type deaf struct {
+	persister.Store
+	heard bool
+}
+
+func (d *deaf) Watch(ctx context.Context, prefix string, after contractor.Revision, handle func(persister.Batch) error) error {
+	if !d.heard {
+		d.heard = true
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return d.Store.Watch(ctx, prefix, after, handle)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -251,7 +251,7 @@
 	}
 	a, err := announcer.New(announcer.Config{
 		Address: d.config.Settings.Internal, Peers: d.shares.Peers, From: uint32(d.run),
-		Source: d.placer, Sink: d.placer, Suspects: d.suspects, Recorder: d.config.Recorder,
+		Source: d.placer, Sink: d.placer, Suspects: d.suspects, Changes: d, Recorder: d.config.Recorder,
 	})
 	if err != nil {
 		d.config.Recorder.Event(recorder.NoticeFailed, "step", "listen", "err", err)
@@ -262,6 +262,23 @@
 	return nil
 }
 
+// Revisions returns the newest changes of the configuration and of the upstreams.
+func (d *Daemon) Revisions() []contractor.Revision {
+	return []contractor.Revision{d.routes.Changed(), d.upstreams.Changed()}
+}
+
+// Learn hears of the newest changes that another daemon has seen.
+func (d *Daemon) Learn(revisions []contractor.Revision) {
+	for i, f := range []*follower.Follower{d.routes, d.upstreams} {
+		if i < len(revisions) {
+			f.Learn(revisions[i])
+		}
+	}
+}
+
+// Members returns the number of daemons of the fleet, as far as is known.
+func (d *Daemon) Members() int { return d.shares.Members() }
+
 // listen opens a listener.
 func listen(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -66,7 +66,8 @@
 	server := httptest.NewServer(s.store.PlatformHandler())
 	t.Cleanup(server.Close)
 	store := platform.NewStore(platform.StoreConfig{
-		Address: server.Listener.Addr().String(), CallTime: 5 * time.Second, WatchTime: 200 * time.Millisecond,
+		Address: server.Listener.Addr().String(), CallTime: 5 * time.Second,
+		WatchTime: func() time.Duration { return 200 * time.Millisecond },
 	})
 	listeners := map[netip.AddrPort]net.Listener{portOf(s.front): s.front, portOf(s.ready): s.ready}
 	daemon := launcher.New(launcher.Config{
