apportioner: a key counts only until its stage has ended

The next run trusted a lock key for 1.5 s more than the stage lasts, to allow for jumps of clocks; with leases that pause in an outage the daemon had gone on to the next stage. Change: the row holds the time of day at which each stage ends, and the next run trusts the key only before it. Leases whose transaction met a conflict are written with the next one.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -85,9 +85,6 @@
 
 	// leaseMargin covers the store's delay in ending a lease and the drift of clocks.
 	leaseMargin = 300 * time.Millisecond
-	// clockTolerance is by how much the time of day may differ between two runs
-	// beyond the time of a lease: the platform says close to true, with jumps of seconds.
-	clockTolerance = 1500 * time.Millisecond
 	// retryElsewhere is when a caller comes back that was refused because this
 	// daemon's share is used up while it is cut off: at once, as it gets to another
 	// daemon.
@@ -198,6 +195,8 @@
 	// leasedAt is when the daemon last got a lease of a stage, and lockedUntil when
 	// all of its leases have ended in any case.
 	leasedAt, lockedUntil [len(stages)]time.Time
+	// locks are the keys of leases that no transaction has written yet.
+	locks []persister.Put
 	// asked is when the round under way began, or the zero time.
 	asked   time.Time
 	failing bool
--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -252,6 +252,32 @@
 	}
 }
 
+// The leases of a daemon that the store leaves alone for longer than a stage end, or
+// pause. In both cases its next run must not take the stage for untouched.
+func TestPausedLeasesDoNotHideWhatWasSpent(t *testing.T) {
+	for _, down := range []time.Duration{3, 4, 5, 7, 11} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(1, 1_000_000)
+			time.Sleep(10 * time.Second)
+			d := f.daemons[0]
+			f.store.SetFaults(emulator.StoreFaults{Outage: true, PauseLeases: true})
+			for range down * 10 {
+				time.Sleep(100 * time.Millisecond)
+				f.drain(d, 1000)
+			}
+			d.stop()
+			f.store.SetFaults(emulator.StoreFaults{})
+			f.launch(d)
+			defer f.stopAll()
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				f.drain(d, 1000)
+			}
+			require.LessOrEqual(t, f.spent, f.prepaid, "%d s", down)
+		})
+	}
+}
+
 func TestLateWriteDoesNotGiveTokensTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3, 3_000_000)
@@ -397,3 +423,21 @@
 	}
 	require.LessOrEqual(t, f.spent, f.prepaid)
 }
+
+func TestSilentDaemonIsForgottenButKeepsItsGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1_000_000)
+		defer f.stopAll()
+		time.Sleep(10 * time.Second)
+		gone := f.daemons[1]
+		gone.stop()
+		time.Sleep(memberTimeout + 10*time.Second)
+		require.Equal(t, 1, f.daemons[0].Members())
+		require.Positive(t, gone.held())
+		for range 50 {
+			f.drain(f.daemons[0], 1000)
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.spent+gone.held(), f.prepaid, "it may only be cut off")
+	})
+}
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -33,8 +33,9 @@
 type row struct {
 	Incarnation contractor.Incarnation         `cbor:"incarnation"`
 	Accounts    map[contractor.Account]holding `cbor:"accounts"`
-	// Stamp is the time of day of the round, in milliseconds since 1970.
-	Stamp int64 `cbor:"stamp"`
+	// Unlocks is the time of day at which the leases of each stage have ended, in
+	// milliseconds since 1970.
+	Unlocks [len(stages)]int64 `cbor:"unlocks"`
 }
 
 // holding is one account in a row. Settled and Demand are as the pool counts them;
@@ -61,7 +62,7 @@
 }
 
 func (r *row) clone() row {
-	c := row{Incarnation: r.Incarnation, Accounts: maps.Clone(r.Accounts), Stamp: r.Stamp}
+	c := row{Incarnation: r.Incarnation, Accounts: maps.Clone(r.Accounts), Unlocks: r.Unlocks}
 	if c.Accounts == nil {
 		c.Accounts = make(map[contractor.Account]holding)
 	}
--- a/assembler/lifetime.go
+++ b/assembler/lifetime.go
@@ -14,6 +14,7 @@
 	"laburnumline/persister"
 	"laburnumline/quarantiner"
 	"laburnumline/recorder"
+	"laburnumline/sleeper"
 	"laburnumline/tracker"
 )
 
@@ -87,12 +88,12 @@
 		return
 	}
 	for d.treasurer.Register(ctx) != nil {
-		if !pause(ctx, registerPause) {
+		if sleeper.Sleep(ctx, registerPause) != nil {
 			return
 		}
 	}
 	for !d.watcher.Ready() {
-		if !pause(ctx, readyPause) {
+		if sleeper.Sleep(ctx, readyPause) != nil {
 			return
 		}
 	}
@@ -101,17 +102,6 @@
 	d.recorder.Event(recorder.DaemonReady, "vm", d.self.VM)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // learnQuarantine passes records of the store on to the quarantiner.
 func (d *Daemon) learnQuarantine(entries []persister.Entry) {
 	records := make([]quarantiner.Record, 0, len(entries))
@@ -150,7 +140,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.lifetime.ready.Store(false)
 	d.server.SetReady(false)
-	pause(ctx, balancerNotice)
+	_ = sleeper.Sleep(ctx, balancerNotice) // the stop goes on in any case
 	drained := d.server.Drain(ctx)
 	d.watcher.Drain()
 	handover, cancel := context.WithTimeout(context.WithoutCancel(ctx), handoverTime)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"laburnumline/dispatcher"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -273,7 +274,7 @@
 	e.stats.CachedBlocks += cached
 	e.mu.Unlock()
 	uncached := len(call.blocks) - cached + 1
-	if err := waitFor(ctx, time.Duration(uncached)*e.config.PrefillInterval); err != nil {
+	if err := sleeper.Sleep(ctx, time.Duration(uncached)*e.config.PrefillInterval); err != nil {
 		return err
 	}
 	if call.crashes {
@@ -285,18 +286,3 @@
 	}
 	return e.stream(ctx, w, call, cached)
 }
-
-// waitFor waits for d or the end of ctx.
-func waitFor(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return context.Cause(ctx)
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
--- a/emulator/engine_stream.go
+++ b/emulator/engine_stream.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"laburnumline/dispatcher"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -97,7 +98,7 @@
 		out.send(0, 0, `{"role":"assistant","content":""}`, "null")
 	}
 	for i := call.resume; i < call.text.length; i++ {
-		if err := waitFor(ctx, e.interval()); err != nil {
+		if err := sleeper.Sleep(ctx, e.interval()); err != nil {
 			return err
 		}
 		out.send(i, 1, `{"content":"`+call.text.word(i)+`"}`, "null")
@@ -165,7 +166,7 @@
 func (e *Engine) answer(ctx context.Context, w http.ResponseWriter, call *engineCall) error {
 	var b strings.Builder
 	for i := range call.text.length {
-		if err := waitFor(ctx, e.interval()); err != nil {
+		if err := sleeper.Sleep(ctx, e.interval()); err != nil {
 			return err
 		}
 		b.WriteString(call.text.word(i))
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"laburnumline/sleeper"
 )
 
 // RunnerFault is how a Runner treats one request.
@@ -149,7 +151,7 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush() // the next write shows a caller that has gone
-		if waitFor(q.Context(), r.config.Gap) != nil {
+		if sleeper.Sleep(q.Context(), r.config.Gap) != nil {
 			return
 		}
 	}
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumline/dispatcher"
+	"laburnumline/sleeper"
 )
 
 // ServiceFault is what goes wrong in a call of a Service.
@@ -105,7 +106,7 @@
 		return
 	}
 	delay, fault := s.begin()
-	if waitFor(r.Context(), delay) != nil {
+	if sleeper.Sleep(r.Context(), delay) != nil {
 		return
 	}
 	switch fault {
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -23,6 +23,7 @@
 
 	"laburnumline/contractor"
 	"laburnumline/persister"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -241,7 +242,7 @@
 		s.mu.Unlock()
 		return persister.ErrThrottled
 	}
-	if err := sleep(ctx, faults.Delay/2); err != nil {
+	if err := sleeper.Sleep(ctx, faults.Delay/2); err != nil {
 		return fmt.Errorf("%w: %w", persister.ErrUnavailable, err)
 	}
 	return nil
@@ -252,19 +253,5 @@
 	s.mu.Lock()
 	delay := s.faults.Delay / 2
 	s.mu.Unlock()
-	return sleep(ctx, delay)
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
+	return sleeper.Sleep(ctx, delay)
 }
--- a/executor/call.go
+++ b/executor/call.go
@@ -15,6 +15,7 @@
 	"laburnumline/refuser"
 	"laburnumline/reserver"
 	"laburnumline/router"
+	"laburnumline/sleeper"
 )
 
 // Call runs one call of a plain service and returns its whole answer.
@@ -205,7 +206,7 @@
 		}
 		return truthfulCall(refuser.New(reason, "dispatch").At(failure.Upstream).After(time.Second).Because(failure), sent)
 	}
-	if err := sleep(ctx, d.Delay); err != nil {
+	if err := sleeper.Sleep(ctx, d.Delay); err != nil {
 		return truthfulCall(refuser.New(endReason(ctx), "retry").Because(err), sent)
 	}
 	return nil
--- a/executor/complete.go
+++ b/executor/complete.go
@@ -16,6 +16,7 @@
 	"laburnumline/reserver"
 	"laburnumline/retrier"
 	"laburnumline/router"
+	"laburnumline/sleeper"
 )
 
 // overSharePriority is added to the priority of accounts that use more than
@@ -156,7 +157,7 @@
 		if !decision.Retry {
 			return c.giveUp(decision, failure)
 		}
-		if err := sleep(ctx, decision.Delay); err != nil {
+		if err := sleeper.Sleep(ctx, decision.Delay); err != nil {
 			return c.refuse(endReason(ctx), "retry", err)
 		}
 	}
--- a/executor/failure.go
+++ b/executor/failure.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"laburnumline/dispatcher"
 	"laburnumline/refuser"
@@ -71,17 +70,6 @@
 	return router.Failed
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // endReason tells a caller that went away from a deadline that has passed.
 func endReason(ctx context.Context) refuser.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,6 +19,7 @@
 	"laburnumline/contractor"
 	"laburnumline/persister"
 	"laburnumline/recorder"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -133,7 +134,7 @@
 			f.config.Recorder.Event(recorder.StoreLost, "prefix", f.config.Prefix, "revision", f.after, "err", err)
 		}
 		lost = true
-		sleep(ctx, pause/2+rand.N(pause))
+		_ = sleeper.Sleep(ctx, pause/2+rand.N(pause)) // the loop looks at ctx
 		pause = min(2*pause, longestPause)
 	}
 }
@@ -175,7 +176,7 @@
 		case <-ctx.Done():
 			return false
 		}
-		sleep(ctx, ownTime) // the watch's own answer may be under way
+		_ = sleeper.Sleep(ctx, ownTime) // the watch's own answer may be under way
 		if f.known.Load() == known && ctx.Err() == nil {
 			cancel()
 			return true
@@ -235,12 +236,3 @@
 	defer cancel()
 	return f.config.Store.Range(ctx, f.config.Prefix, after, pageSize)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -12,6 +12,7 @@
 	"laburnumline/recorder"
 	"laburnumline/refuser"
 	"laburnumline/retrier"
+	"laburnumline/sleeper"
 )
 
 // failure is an attempt that did not end the request.
@@ -59,7 +60,7 @@
 		if decision.Resume {
 			f.Recorder.Event(recorder.StreamResumed, "id", x.request.ID, "after", x.lastEvent, "from", choice.Upstream.Name)
 		}
-		if !sleep(ctx, decision.Delay) {
+		if sleeper.Sleep(ctx, decision.Delay) != nil {
 			return x.stopped(ctx, choice)
 		}
 	}
@@ -253,17 +254,3 @@
 	}
 	return slices.ContainsFunc(a.Header.Values("Content-Type"), isEventStream)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/treasurer/drain.go
+++ b/treasurer/drain.go
@@ -9,6 +9,7 @@
 	"laburnumline/messenger"
 	"laburnumline/persister"
 	"laburnumline/reserver"
+	"laburnumline/sleeper"
 )
 
 // Drain prepares a planned stop. It waits until the daemon's own reservations
@@ -34,7 +35,7 @@
 		if done {
 			return nil
 		}
-		if paused := pause(ctx, retryPause); paused != nil {
+		if paused := sleeper.Sleep(ctx, retryPause); paused != nil {
 			return errors.Join(paused, err)
 		}
 	}
--- a/treasurer/flush.go
+++ b/treasurer/flush.go
@@ -12,6 +12,7 @@
 	"laburnumline/contractor"
 	"laburnumline/persister"
 	"laburnumline/recorder"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -60,7 +61,7 @@
 		if done {
 			break
 		}
-		if pause(ctx, rand.N(conflictPause)) != nil {
+		if sleeper.Sleep(ctx, rand.N(conflictPause)) != nil {
 			break
 		}
 	}
--- a/treasurer/open.go
+++ b/treasurer/open.go
@@ -16,6 +16,7 @@
 	"laburnumline/persister"
 	"laburnumline/recorder"
 	"laburnumline/reserver"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -58,7 +59,7 @@
 		if !errors.Is(err, persister.ErrUnknown) {
 			return fmt.Errorf("register %s: %w", self, err)
 		}
-		if err := pause(ctx, retryPause); err != nil {
+		if err := sleeper.Sleep(ctx, retryPause); err != nil {
 			return fmt.Errorf("register %s: %w", self, err)
 		}
 	}
@@ -173,7 +174,7 @@
 			t.opened(started, &next, written)
 			return nil
 		case errors.Is(err, persister.ErrConflict), errors.Is(err, persister.ErrUnknown):
-			if pause(ctx, rand.N(conflictPause)) != nil {
+			if sleeper.Sleep(ctx, rand.N(conflictPause)) != nil {
 				return err
 			}
 		default:
@@ -206,7 +207,7 @@
 		if err == nil {
 			break
 		}
-		if pause(ctx, sealPause) != nil {
+		if sleeper.Sleep(ctx, sealPause) != nil {
 			return
 		}
 	}
@@ -227,7 +228,7 @@
 			t.sealed(ctx, account, outcome, t.now().Sub(started))
 			return
 		}
-		if pause(ctx, sealPause) != nil {
+		if sleeper.Sleep(ctx, sealPause) != nil {
 			return
 		}
 	}
--- a/treasurer/reserve.go
+++ b/treasurer/reserve.go
@@ -11,6 +11,7 @@
 	"laburnumline/messenger"
 	"laburnumline/refuser"
 	"laburnumline/reserver"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -39,7 +40,7 @@
 			refusal := t.refuse(refuser.BudgetUnreachable, unreachableRetry, "no keeper of the budget answers")
 			return reserver.Reservation{}, refusal.Because(again.err)
 		}
-		if err := pause(ctx, retryPause); err != nil {
+		if err := sleeper.Sleep(ctx, retryPause); err != nil {
 			return reserver.Reservation{}, t.refuse(refuser.Cancelled, 0, "the caller has gone").Because(err)
 		}
 	}
@@ -154,17 +155,6 @@
 	return reservation, nil
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // keepsOrOpens makes the daemon the keeper of an account when its view says so.
 func (t *Treasurer) keepsOrOpens(ctx context.Context, account contractor.Account) error {
 	if _, ok := t.keeper.Keeps(account); ok {
--- a/treasurer/serve.go
+++ b/treasurer/serve.go
@@ -9,6 +9,7 @@
 	"laburnumline/biller"
 	"laburnumline/contractor"
 	"laburnumline/refuser"
+	"laburnumline/sleeper"
 )
 
 var errNotKeeper = errors.New("daemon is not the keeper of the account")
@@ -126,7 +127,7 @@
 	}
 	if answer.Sealing {
 		f.writes = 0
-		_ = pause(ctx, retryPause)
+		_ = sleeper.Sleep(ctx, retryPause)
 		return nil
 	}
 	if !f.asked && !answer.Dry {
@@ -148,7 +149,7 @@
 		if _, kept := t.keeper.Keeps(f.ask.Account); !kept || t.now().After(f.until) {
 			return false
 		}
-		if pause(ctx, retryPause) != nil {
+		if sleeper.Sleep(ctx, retryPause) != nil {
 			return false
 		}
 	}
@@ -172,7 +173,7 @@
 		f.waiting = t.now().Add(t.config.ShortWait)
 	}
 	if answer.Returning && t.now().Before(f.waiting) {
-		_ = pause(ctx, min(retryPause, t.config.ShortWait))
+		_ = sleeper.Sleep(ctx, min(retryPause, t.config.ShortWait))
 		f.asked = false
 		return nil
 	}
--- a/watcher/poll.go
+++ b/watcher/poll.go
@@ -7,6 +7,7 @@
 
 	"laburnumline/messenger"
 	"laburnumline/recorder"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -24,7 +25,7 @@
 	for {
 		peers := w.candidates(time.Now(), pollSlots)
 		if slot >= len(peers) {
-			if err := sleep(ctx, pollIdle); err != nil {
+			if err := sleeper.Sleep(ctx, pollIdle); err != nil {
 				return err
 			}
 			continue
@@ -143,7 +144,7 @@
 		case since(w.heard.Load(), time.Now()) < w.config.FreshFor:
 			wait = heardFallbackEvery + rand.N(heardFallbackEvery)
 		}
-		if err := sleep(ctx, wait); err != nil {
+		if err := sleeper.Sleep(ctx, wait); err != nil {
 			return err
 		}
 	}
--- a/watcher/relay.go
+++ b/watcher/relay.go
@@ -11,6 +11,7 @@
 	"laburnumline/contractor"
 	"laburnumline/persister"
 	"laburnumline/recorder"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -84,7 +85,7 @@
 		if _, err := w.config.Store.Get(ctx, prefixes[Contracts]); err == nil && w.loaded() {
 			w.touch(at)
 		}
-		if err := sleep(ctx, w.config.ProbeEvery); err != nil {
+		if err := sleeper.Sleep(ctx, w.config.ProbeEvery); err != nil {
 			return err
 		}
 	}
@@ -114,7 +115,7 @@
 		if err == nil {
 			continue
 		}
-		if serr := sleep(ctx, storeRetryEvery); serr != nil {
+		if serr := sleeper.Sleep(ctx, storeRetryEvery); serr != nil {
 			return serr
 		}
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -249,14 +249,3 @@
 
 // fresh reports whether the view is current as far as can be known.
 func (w *Watcher) fresh(now time.Time) bool { return w.age(now) <= w.config.FreshFor }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
