apportioner: take what was spent from a row whose take-over was not answered

A new run that wrote its row but lost the answer found its own row on the next read and then settled it with nothing spent. Change: a run that has not joined takes what was spent from the row that it reads.

--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -278,6 +278,29 @@
 	}
 }
 
+// A run that took its row over, but did not hear so, goes on from the row as well.
+func TestTakeOverWhoseAnswerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(10 * time.Second)
+		d := f.daemons[0]
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			f.drain(d, 1000)
+		}
+		require.Greater(t, f.spent, f.prepaid/2)
+		d.stop()
+		f.store.LoseNextAnswers(1)
+		f.launch(d)
+		defer f.stopAll()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			f.drain(d, 1000)
+		}
+		require.LessOrEqual(t, f.spent, f.prepaid)
+	})
+}
+
 func TestLateWriteDoesNotGiveTokensTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3, 3_000_000)
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -173,7 +173,11 @@
 	// A write whose outcome is unknown may still take effect and give tokens back,
 	// so only an acknowledged write raises what may be spent.
 	for name, h := range r.row.Accounts {
-		a.account(name).lower(h)
+		s := a.account(name)
+		s.lower(h)
+		if !r.joined {
+			s.spent = h.Spent // the answer to the write that took the row over was lost
+		}
 	}
 	return nil
 }
@@ -224,7 +228,7 @@
 		s := a.account(name)
 		s.granted, s.limits = h.Granted, h.Limits
 		if p.joined {
-			s.spent += h.Spent
+			s.spent = h.Spent
 		}
 	}
 	a.sight()
