connector: share out the kept connections to an upstream

Cause: 91 daemons may keep 16 connections each to an upstream that takes 360 of all. Change: each keeps its part of half of the least limit, at least one.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -43,7 +43,7 @@
 	idleMargin = 700 * time.Millisecond
 	// defaultIdle is how long a connection is kept when the upstream states no time.
 	defaultIdle = 4 * time.Second
-	// maxIdle bounds the kept connections to one upstream.
+	// maxIdle bounds the kept connections to one upstream; Limit lowers it.
 	maxIdle = 16
 	// maxStale is the number of answers to earlier calls that are skipped.
 	maxStale = 3
@@ -118,13 +118,14 @@
 type Pool struct {
 	config Config
 
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*connection // oldest first
+	mu    sync.Mutex
+	idle  map[netip.AddrPort][]*connection // oldest first
+	limit int
 }
 
 // New returns a pool without connections.
 func New(c Config) *Pool {
-	return &Pool{config: c, idle: make(map[netip.AddrPort][]*connection)}
+	return &Pool{config: c, idle: make(map[netip.AddrPort][]*connection), limit: maxIdle}
 }
 
 // Send sends a call and returns its answer, whose body is read by the caller. The
@@ -185,7 +186,7 @@
 	p.mu.Lock()
 	list := p.idle[address]
 	var oldest *connection
-	if len(list) >= maxIdle {
+	if len(list) >= p.limit {
 		oldest, list = list[0], list[1:]
 	}
 	p.idle[address] = append(list, c)
@@ -195,6 +196,14 @@
 	}
 }
 
+// Limit bounds the kept connections to one upstream, because an upstream takes only
+// so many from all daemons. At least one is kept.
+func (p *Pool) Limit(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = min(max(connections, 1), maxIdle)
+}
+
 // Sweep closes idle connections that are too old. It is called about once a second.
 func (p *Pool) Sweep(now time.Time) {
 	var old []*connection
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -298,3 +298,29 @@
 	pool.Sweep(time.Now().Add(1500 * time.Millisecond))
 	require.Empty(t, pool.idle[p.address()], "before the upstream closes it")
 }
+
+func TestLimitOfKeptConnections(t *testing.T) {
+	p := listen(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			if _, err := request(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer("1", "ok"))
+		}
+	})
+	pool := newPool()
+	pool.Limit(0)
+	var answers []*Answer
+	for range 3 {
+		a, err := pool.Send(t.Context(), p.address(), newCall("1"))
+		require.NoError(t, err)
+		_, err = io.ReadAll(a.Body)
+		require.NoError(t, err)
+		answers = append(answers, a)
+	}
+	for _, a := range answers {
+		a.Close()
+	}
+	require.Len(t, pool.idle[p.address()], 1)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -312,12 +313,35 @@
 			return
 		case now := <-t.C:
 			d.registrar.Expire()
+			d.pool.Limit(d.connectionShare())
 			d.pool.Sweep(now)
 			d.updateReady()
 		}
 	}
 }
 
+// idleShare is the part of an upstream's connections that daemons keep idle; the
+// rest is for those in use.
+const idleShare = 0.5
+
+// connectionShare is how many idle connections this daemon keeps to one upstream.
+func (d *Daemon) connectionShare() int {
+	table := d.holder.Table()
+	if table == nil {
+		return 1
+	}
+	least := 0
+	for _, s := range table.Services() {
+		if s.MaxConnections > 0 && (least == 0 || s.MaxConnections < least) {
+			least = s.MaxConnections
+		}
+	}
+	if least == 0 {
+		return math.MaxInt
+	}
+	return int(idleShare * float64(least) / float64(d.Members()))
+}
+
 func (d *Daemon) updateReady() {
 	ready := d.isReady()
 	if d.ready.Swap(ready) != ready {
