--- /dev/null
+++ b/apportioner/size_test.go
@@ -0,0 +1,35 @@
+package apportioner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"laburnumline/contractor"
+)
+
+// TestSizeOfThePool holds the figures of docs/CAPACITY.md: the pool stays far below
+// the store's megabyte at the sizes of today, and at the letter's size as well.
+func TestSizeOfThePool(t *testing.T) {
+	tests := []struct{ accounts, members, most int }{
+		{10, 7, 2 << 10},
+		{24, 91, 8 << 10},
+		{2100, 400, 256 << 10},
+	}
+	for _, tt := range tests {
+		p := pool{Accounts: make(map[contractor.Account]sums), Members: make(map[string]member)}
+		for i := range tt.accounts {
+			name := contractor.Account(fmt.Sprintf("client-account-%04d", i))
+			p.Accounts[name] = sums{Granted: 5_000_000, Spent: 4_000_000, Demand: 12_345.678}
+		}
+		for i := range tt.members {
+			p.Members[fmt.Sprintf("edge-gulf-south-a-%03d", i)] = member{Round: 12_345, Address: "10.1.0.100:17340"}
+		}
+		text, err := cbor.Marshal(p)
+		require.NoError(t, err)
+		t.Logf("%d accounts, %d members: %d bytes", tt.accounts, tt.members, len(text))
+		require.Less(t, len(text), tt.most)
+	}
+}
