--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -51,7 +51,7 @@
 
 const (
 	// roundInterval is the time between two rounds that settle the daemon's own row.
-	roundInterval = 600 * time.Millisecond
+	roundInterval = time.Second
 	// dealInterval is the time between two rounds that deal anew. Half of a zone's
 	// demand can move to another daemon within a second, and cuts last nine.
 	dealInterval = 2500 * time.Millisecond
@@ -63,7 +63,7 @@
 	urgentDeal = 300 * time.Millisecond
 	// kickInterval is the shortest time between two rounds, and openInterval that
 	// before a round for which no request waits yet.
-	kickInterval = 60 * time.Millisecond
+	kickInterval = 120 * time.Millisecond
 	openInterval = 300 * time.Millisecond
 	// conflictPause is the mean wait after a conflict; it grows with each one.
 	conflictPause = 5 * time.Millisecond
@@ -116,8 +116,8 @@
 
 // stages are how a grant is unlocked while the store is away.
 var stages = [...]stage{
-	// A killed daemon's last round is up to 0.8 s old, and it is back within about 1.5 s.
-	{name: "open", lease: 2600 * time.Millisecond, renewal: 600 * time.Millisecond},
+	// A killed daemon's last lease is up to 1.3 s old, and it is back within about 1.5 s.
+	{name: "open", lease: 3 * time.Second, renewal: 950 * time.Millisecond},
 	// A VM that lost power is back within about 4 s.
 	{name: "short", lease: 5 * time.Second, renewal: 2 * time.Second, cover: 3400 * time.Millisecond, share: 0.15},
 	// Cuts last up to 9 s.
