apportioner: take shares over at once, keep a part in the pool for waiting requests

Also the second daemon of a start took what was kept in the pool, so that a daemon with a first request had nothing. Ruled out: the store's rates (no 429); conflicts (rows are written alone).

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -140,11 +140,12 @@
 	}
 }
 
-// stage returns the stage at this time: the first one of which a lease may last.
+// stage returns the stage at this time: the first one of which a lease may last, or of
+// which there was none yet.
 func (a *Apportioner) stage() int {
 	now := a.config.Now()
 	for i := range stages {
-		if !a.rounds.joined || now.Before(a.rounds.lockedUntil[i]) {
+		if a.rounds.leasedAt[i].IsZero() || now.Before(a.rounds.lockedUntil[i]) {
 			return i
 		}
 	}
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -65,6 +65,8 @@
 	// before a round for which no request waits yet.
 	kickInterval = 120 * time.Millisecond
 	openInterval = 300 * time.Millisecond
+	// joinPause is the time between two tries to get a row.
+	joinPause = 50 * time.Millisecond
 	// conflictPause is the mean wait after a conflict; it grows with each one.
 	conflictPause = 5 * time.Millisecond
 	// reserveWait is how long a request waits for a round that brings tokens. A
@@ -119,9 +121,9 @@
 	// A killed daemon's last lease is up to 1.3 s old, and it is back within about 1.5 s.
 	{name: "open", lease: 3 * time.Second, renewal: 950 * time.Millisecond},
 	// A VM that lost power is back within about 4 s.
-	{name: "short", lease: 5 * time.Second, renewal: 2 * time.Second, cover: 3400 * time.Millisecond, share: 0.15},
+	{name: "short", lease: 7 * time.Second, renewal: 2 * time.Second, cover: 4 * time.Second, share: 0.15},
 	// Cuts last up to 9 s.
-	{name: "long", lease: 10 * time.Second, renewal: 4 * time.Second, cover: 6 * time.Second, share: 0.5},
+	{name: "long", lease: 12 * time.Second, renewal: 4 * time.Second, cover: 5 * time.Second, share: 0.5},
 }
 
 // stageOpen is the stage while rounds succeed.
@@ -188,8 +190,10 @@
 	joined       bool
 	leaving      bool
 	replaced     bool
-	// before is the stage that an earlier run cannot have left, or len(stages).
-	before int
+	// predecessor is the earlier run whose row this one takes over, and before the
+	// stage that it cannot have left, or len(stages).
+	predecessor contractor.Incarnation
+	before      int
 	// dealtAt is when the daemon last dealt.
 	dealtAt time.Time
 	// leasedAt is when the daemon last got a lease of a stage, and lockedUntil when
--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -301,6 +301,28 @@
 	})
 }
 
+// What a run sees of its predecessor's locks at its start still holds when it gets
+// its row only later.
+func TestTakeOverWhileAnswersAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(10 * time.Second)
+		d := f.daemons[0]
+		before := d.held()
+		d.stop()
+		time.Sleep(time.Second)
+		f.store.SetFaults(emulator.StoreFaults{LoseRequests: 1})
+		f.launch(d)
+		defer f.stopAll()
+		time.Sleep(12 * time.Second)
+		require.False(t, d.Joined())
+		f.store.SetFaults(emulator.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		require.True(t, d.Joined())
+		require.Greater(t, float64(d.held()), 0.8*float64(before))
+	})
+}
+
 func TestLateWriteDoesNotGiveTokensTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3, 3_000_000)
--- a/apportioner/lock.go
+++ b/apportioner/lock.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"laburnumline/contractor"
 	"laburnumline/persister"
 )
@@ -15,55 +17,69 @@
 }
 
 // findLocks looks, before this run has a row, in which stage an earlier run was at
-// the most when it ended.
+// the most when it ended. What was once seen holds: that run had ended before.
 func (a *Apportioner) findLocks(ctx context.Context) error {
 	a.mu.Lock()
 	old := a.rounds.row
+	if a.rounds.predecessor != old.Incarnation {
+		a.rounds.predecessor, a.rounds.before = old.Incarnation, len(stages)
+	}
+	least := a.rounds.before
 	a.mu.Unlock()
 	if old.Incarnation == 0 || old.Incarnation == a.config.Incarnation {
 		return nil
 	}
-	before := 0
-	for ; before < len(stages); before++ {
-		lock, err := a.config.Store.Get(ctx, a.lockKey(old.Incarnation, before))
+	for i := range least {
+		lock, err := a.config.Store.Get(ctx, a.lockKey(old.Incarnation, i))
 		if err != nil {
 			return err
 		}
-		unlocks := time.UnixMilli(old.Unlocks[before])
-		if lock.Revision > 0 && a.config.Now().Before(unlocks) {
-			break
+		if lock.Revision > 0 && a.config.Now().Before(time.UnixMilli(old.Unlocks[i])) {
+			a.mu.Lock()
+			a.rounds.before = i
+			a.mu.Unlock()
+			return nil
 		}
 	}
-	a.mu.Lock()
-	a.rounds.before = before
-	a.mu.Unlock()
 	return nil
 }
 
-// lease gets new leases for the stages whose leases have grown old. Their keys are
-// written with the next transaction. A renewal could take effect late and prolong
-// the key's life; a new lease cannot, because its time runs from before its answer.
+// lease gets new leases, side by side, for the stages whose leases have grown old.
+// Their keys are written with the next transaction. A renewal could take effect late
+// and prolong the key's life; a new lease cannot, because its time runs from before
+// its answer.
+//
+// A run takes its row over without them, and stays in the first stage until it has them.
 func (a *Apportioner) lease(ctx context.Context) error {
-	for i, t := range stages {
-		a.mu.Lock()
-		due := a.config.Now().Sub(a.rounds.leasedAt[i]) >= t.renewal
-		ttl := a.leaseTime(i)
-		a.mu.Unlock()
-		if !due {
-			continue
-		}
-		id, err := a.grantLease(ctx, ttl)
-		if err != nil {
-			return err
-		}
-		a.mu.Lock()
-		r, now := &a.rounds, a.config.Now()
-		r.leasedAt[i], r.lockedUntil[i] = now, now.Add(ttl+leaseMargin)
-		r.locks = append(r.locks, persister.Put{
-			Key: a.lockKey(a.config.Incarnation, i), Value: []byte(t.name), Lease: id,
-		})
-		a.mu.Unlock()
+	if !a.Joined() {
+		return nil
 	}
+	var calls errgroup.Group
+	for i := range stages {
+		calls.Go(func() error { return a.leaseStage(ctx, i) })
+	}
+	return calls.Wait()
+}
+
+func (a *Apportioner) leaseStage(ctx context.Context, stage int) error {
+	a.mu.Lock()
+	due := a.config.Now().Sub(a.rounds.leasedAt[stage]) >= stages[stage].renewal
+	ttl := a.leaseTime(stage)
+	a.mu.Unlock()
+	if !due {
+		return nil
+	}
+	id, err := a.grantLease(ctx, ttl)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r, now := &a.rounds, a.config.Now()
+	r.leasedAt[stage], r.lockedUntil[stage] = now, now.Add(ttl+leaseMargin)
+	r.locks = append(r.locks, persister.Put{
+		Key: a.lockKey(a.config.Incarnation, stage), Value: []byte(stages[stage].name), Lease: id,
+	})
 	return nil
 }
 
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -135,8 +135,7 @@
 	target := q.target(s)
 	want := max(target, pledged)
 	if held < want && (held < pledged || float64(want-held) > slack*float64(want)) {
-		unallocated := max(q.prepaid-s.Granted, 0)
-		return q.Granted + min(want-held, unallocated)
+		return q.Granted + q.take(s, want-held, pledged-held)
 	}
 	if float64(held) > (1+slack)*float64(want) {
 		return q.Spent + want
@@ -144,6 +143,14 @@
 	return q.Granted
 }
 
+// take returns what the daemon takes from the pool. The part of what is left that is
+// not dealt out is for requests that wait.
+func (q *position) take(s sums, wanted, missing contractor.Tokens) contractor.Tokens {
+	unallocated := max(q.prepaid-s.Granted, 0)
+	kept := contractor.Tokens((1 - q.dealt) * float64(max(q.prepaid-s.Spent, 0)))
+	return min(max(min(wanted, unallocated-kept), missing, 0), unallocated)
+}
+
 // limits returns up to where the daemon's row lets it spend in each stage.
 func (q *position) limits() [len(stages)]contractor.Tokens {
 	var limits [len(stages)]contractor.Tokens
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -24,6 +24,11 @@
 	for ctx.Err() == nil {
 		begun := a.config.Now()
 		a.Round(ctx)
+		if !a.Joined() {
+			// An error shows that ctx has ended, which the loop looks at.
+			_ = sleeper.Sleep(ctx, joinPause)
+			continue
+		}
 		a.wait(ctx, begun, a.interval())
 	}
 }
@@ -172,16 +177,30 @@
 	}
 	// A write whose outcome is unknown may still take effect and give tokens back,
 	// so only an acknowledged write raises what may be spent.
+	if !r.joined {
+		// The answer to the write that took the row over was lost. No other write of
+		// this run is under way, so the row is as good as acknowledged.
+		a.join()
+		return nil
+	}
 	for name, h := range r.row.Accounts {
-		s := a.account(name)
-		s.lower(h)
-		if !r.joined {
-			s.spent = h.Spent // the answer to the write that took the row over was lost
-		}
+		a.account(name).lower(h)
 	}
 	return nil
 }
 
+// join begins to spend from the row that this run has taken over. The lock is held.
+func (a *Apportioner) join() {
+	r := &a.rounds
+	r.joined = true
+	for name, h := range r.row.Accounts {
+		s := a.account(name)
+		s.granted, s.limits, s.spent = h.Granted, h.Limits, h.Spent
+	}
+	a.config.Recorder.Event(recorder.ShareTaken, "vm", a.config.Name, "stage", r.before, "revision", r.rowRevision)
+	a.kick()
+}
+
 // sight notes which daemons have made rounds.
 func (a *Apportioner) sight() {
 	r, now := &a.rounds, a.config.Now()
@@ -223,19 +242,15 @@
 	if p.deals {
 		r.pool, r.poolRevision, r.dealtAt = p.pool, revision, a.config.Now()
 	}
-	r.known, r.joined = true, true
+	r.known = true
+	if !r.joined {
+		a.join()
+	}
 	for name, h := range p.row.Accounts {
 		s := a.account(name)
 		s.granted, s.limits = h.Granted, h.Limits
-		if p.joined {
-			s.spent = h.Spent
-		}
 	}
 	a.sight()
-	if p.joined {
-		a.config.Recorder.Event(recorder.ShareTaken, "vm", a.config.Name, "stage", r.before, "revision", revision)
-		a.kick()
-	}
 	if p.lost > 0 {
 		a.config.Recorder.Event(recorder.SharesLost, "vm", a.config.Name, "tokens", p.lost)
 	}
