--- a/connector/connector.go
+++ b/connector/connector.go
@@ -108,7 +108,6 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
-	used   bool
 	// until is when an idle connection is not used any more.
 	until time.Time
 	keep  time.Duration
@@ -181,7 +180,6 @@
 }
 
 func (p *Pool) put(address netip.AddrPort, c *connection) {
-	c.used = true
 	c.until = time.Now().Add(c.keep - idleMargin)
 	p.mu.Lock()
 	list := p.idle[address]
@@ -229,13 +227,18 @@
 	}
 }
 
-// Forget closes the idle connections to an upstream that is gone.
-func (p *Pool) Forget(address netip.AddrPort) {
+// Keep closes the idle connections to all but some addresses.
+func (p *Pool) Keep(addresses map[netip.AddrPort]bool) {
+	var gone []*connection
 	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
+	for address, list := range p.idle {
+		if !addresses[address] {
+			gone = append(gone, list...)
+			delete(p.idle, address)
+		}
+	}
 	p.mu.Unlock()
-	for _, c := range list {
+	for _, c := range gone {
 		c.Close()
 	}
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -118,11 +119,8 @@
 	if x.request.Length > 0 {
 		b.Grow(int(x.request.Length) + bytes.MinRead)
 	}
-	if _, err := b.ReadFrom(io.LimitReader(x.request.Body, limit+1)); err != nil {
-		if ctx.Err() != nil {
-			return refuser.New(refuser.Cancelled, "read request").Because(err)
-		}
-		return refuser.New(refuser.BadRequest, "read request").Because(err)
+	if err := x.fill(&b, limit); err != nil {
+		return bodyRefusal(ctx, err)
 	}
 	if int64(b.Len()) > limit {
 		return tooLarge()
@@ -131,6 +129,30 @@
 	return nil
 }
 
+// fill reads the body up to one byte beyond the limit, and until the deadline.
+func (x *exchange) fill(b *bytes.Buffer, limit int64) error {
+	if x.request.Length == 0 {
+		return nil
+	}
+	control := http.NewResponseController(x.writer)
+	// A writer without deadlines is one of a test, whose body does not wait.
+	_ = control.SetReadDeadline(x.deadline)
+	_, err := b.ReadFrom(io.LimitReader(x.request.Body, limit+1))
+	_ = control.SetReadDeadline(time.Time{})
+	return err
+}
+
+func bodyRefusal(ctx context.Context, err error) *refuser.Refusal {
+	reason := refuser.BadRequest
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded): // which also ends ctx
+		reason = refuser.SlowRequest
+	case ctx.Err() != nil:
+		reason = refuser.Cancelled
+	}
+	return refuser.New(reason, "read request").Because(err)
+}
+
 // reserve sets the most that the request can use apart.
 func (x *exchange) reserve(ctx context.Context) *refuser.Refusal {
 	most := x.request.Prompt + x.request.MaxOutput
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -50,24 +50,10 @@
 	Store    netip.AddrPort
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
-	// Files is the limit of open files.
-	Files int
-	// Drain is how long a leaving upstream still serves.
-	Drain time.Duration
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace time.Duration
-	// Stable is the time after which a VM counts as undisturbed.
-	Stable time.Duration
-	// Apply is the time in which a configuration has to be in force.
-	Apply     time.Duration
-	Heartbeat time.Duration
-	// RetryRatio and RetryAllowance bound the retries of the fleet within RetryWindow.
-	RetryRatio     float64
-	RetryAllowance float64
-	RetryWindow    time.Duration
-	// PromptReuse is how long a part of a prompt is likely to be used again.
-	PromptReuse     time.Duration
-	WritesPerSecond int
+	// RetryRatio bounds the retries of the fleet, as a part of its requests.
+	RetryRatio float64
 }
 
 // Adapter is the platform as the product sees it.
@@ -133,6 +119,9 @@
 	routes    *follower.Follower
 	upstreams *follower.Follower
 
+	// forgotten is the generation of the list of upstreams at the last look.
+	forgotten int64
+
 	stopping atomic.Bool
 	ready    atomic.Bool
 }
@@ -313,6 +302,7 @@
 			return
 		case now := <-t.C:
 			d.registrar.Expire()
+			d.forgetGone()
 			d.pool.Limit(d.connectionShare())
 			d.pool.Sweep(now)
 			d.updateReady()
@@ -320,6 +310,17 @@
 	}
 }
 
+// forgetGone drops what is known of upstreams that are listed no more.
+func (d *Daemon) forgetGone() {
+	generation := d.registrar.Generation()
+	if generation == d.forgotten {
+		return
+	}
+	d.forgotten = generation
+	d.placer.Keep(d.registrar.Listed)
+	d.pool.Keep(d.registrar.Addresses())
+}
+
 // idleShare is the part of an upstream's connections that daemons keep idle; the
 // rest is for those in use.
 const idleShare = 0.5
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -214,3 +214,21 @@
 	require.Equal(t, emulator.RunnerStream(10), got.body)
 	require.NoError(t, <-s.ended)
 }
+
+func TestSlowBodyIsRefusedAtTheDeadline(t *testing.T) {
+	s := newSite(t)
+	body, writer := io.Pipe()
+	defer writer.Close()
+	q, err := http.NewRequest("POST", "http://"+s.front.Addr().String()+"/plain/1", body)
+	require.NoError(t, err)
+	q.Host = "a.example"
+	q.Header.Set("Attempt-Id", "77")
+	q.Header.Set("Deadline-Ms", "200")
+	q.Header.Set("Authorization", "Bearer k1")
+	go func() { _, _ = io.WriteString(writer, "half") }() // the rest never comes
+	r, err := http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	defer r.Body.Close()
+	require.Equal(t, http.StatusRequestTimeout, r.StatusCode)
+	require.Empty(t, s.desk.Runs())
+}
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -97,3 +98,11 @@
 	d.config.Recorder.Event(recorder.DaemonStopped, "vm", d.config.Settings.Name)
 	return err
 }
+
+// serve runs a server until it is closed, and logs why it ended otherwise.
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		d.config.Recorder.Event(recorder.DaemonFailed, "address", listener.Addr(), "err", err)
+	}
+}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -64,6 +64,7 @@
 	Cancelled
 	DeadlineExceeded
 	NoRoute
+	SlowRequest
 	reasonCount
 )
 
@@ -100,6 +101,7 @@
 	Cancelled:            {"cancelled", 499},
 	DeadlineExceeded:     {"deadline_exceeded", http.StatusGatewayTimeout},
 	NoRoute:              {"no_route", http.StatusNotFound},
+	SlowRequest:          {"slow_request", http.StatusRequestTimeout},
 }
 
 // String returns the name that callers and counters see.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -100,6 +100,31 @@
 	return (*r.view.Load())[service]
 }
 
+// Listed reports whether an upstream has an entry, draining ones included.
+func (r *Registrar) Listed(name Name) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.entries {
+		if e.usable && e.upstream.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Addresses returns the addresses of all upstreams that have an entry.
+func (r *Registrar) Addresses() map[netip.AddrPort]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make(map[netip.AddrPort]bool, len(r.entries))
+	for _, e := range r.entries {
+		if e.usable {
+			all[e.upstream.Address] = true
+		}
+	}
+	return all
+}
+
 // Generation counts the changes of the list.
 func (r *Registrar) Generation() int64 { return r.changed.Load() }
 
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -90,3 +90,12 @@
 	r.Expire()
 	require.Equal(t, []string{"a"}, names(r))
 }
+
+func TestDrainingUpstreamsAreStillListed(t *testing.T) {
+	r := newList(&clock{})
+	r.Reset([]persister.Entry{keyed("a", "drafts draining"), keyed("torn", "")})
+	require.Empty(t, names(r))
+	require.True(t, r.Listed("a"))
+	require.False(t, r.Listed("torn"))
+	require.Len(t, r.Addresses(), 1)
+}
