apportioner: a run that was replaced stops spending

Cause: found by reading: a run that sees a later run of its name in its row went on with its locked parts, which the later one takes for untouched. Change: it keeps just what requests have reserved; the package comment tells the stages. TestReplacedRunStopsSpending covers it.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -12,11 +12,18 @@
 //
 // Daemons are cut off from the store, and from each other, for many seconds without
 // a sign beforehand. So most of a balance is dealt out all the time, in proportion to
-// the demand that each daemon has seen, and dealt anew about once a second: what
-// an account has left moves to the daemons that need it. A part stays in the pool,
-// for a daemon whose share runs out while the store is there and for daemons that
-// start. What a killed daemon held is lost to the account, because nobody knows how
-// much of it was spent.
+// the demand that each daemon has seen, and dealt anew every few seconds: what an
+// account has left moves to the daemons that need it. A part stays in the pool, for
+// requests that wait because a share has run out, and for daemons that start.
+//
+// Nobody knows how much a killed daemon has spent since its last round. To keep that
+// little, a grant is unlocked in stages. A daemon spends the open part while its
+// rounds succeed. Rounds put a key under a new lease for each stage, and the daemon
+// spends the next part only after every lease of the stage before must have ended.
+// So the next run of the daemon knows from the keys that it still finds how much may
+// have been spent; without any, that is all that was granted. Leases may pause while
+// the store is down; therefore a key counts only until the time of day at which its
+// stage ends.
 //
 // An Apportioner is the shares of one daemon; its rounds are run by Run.
 //
@@ -189,7 +196,6 @@
 	number       int64
 	joined       bool
 	leaving      bool
-	replaced     bool
 	// predecessor is the earlier run whose row this one takes over, and before the
 	// stage that it cannot have left, or len(stages).
 	predecessor contractor.Incarnation
--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -323,6 +323,25 @@
 	})
 }
 
+// Two processes of one name are a mistake of whoever starts them. The first one
+// stops spending when it sees that the second one has its row.
+func TestReplacedRunStopsSpending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(10 * time.Second)
+		d := f.daemons[0]
+		first, stop := d.Apportioner, d.stop
+		defer stop()
+		f.launch(d)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		require.Zero(t, heldBy(first))
+		require.Positive(t, d.held())
+		_, err := first.Reserve(t.Context(), testAccount, 1)
+		require.Equal(t, refuser.BudgetUnreachable, reasonOf(t, err))
+	})
+}
+
 func TestLateWriteDoesNotGiveTokensTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3, 3_000_000)
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -90,6 +90,7 @@
 		if stage < len(h.Limits) {
 			bound = min(h.Limits[stage], h.Granted)
 		}
+		bound = max(bound, h.Spent)
 		lost += bound - h.Spent
 		h.Spent = bound
 		q := position{holding: h}
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -168,7 +168,7 @@
 		r.row, r.rowRevision = own.clone(), e.Revision
 	}
 	if r.joined && r.row.Incarnation != a.config.Incarnation {
-		r.replaced = true
+		a.stopSpending()
 		return errReplaced
 	}
 	r.known = true
@@ -189,6 +189,14 @@
 	return nil
 }
 
+// stopSpending leaves just what requests have reserved: a later run counts on the
+// rest. The lock is held.
+func (a *Apportioner) stopSpending() {
+	for _, s := range a.accounts {
+		s.granted = min(s.granted, s.spent+s.reserved)
+	}
+}
+
 // join begins to spend from the row that this run has taken over. The lock is held.
 func (a *Apportioner) join() {
 	r := &a.rounds
