--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -114,15 +114,15 @@
 	config   Config
 	conn     *net.UDPConn
 	sequence uint64
-	// rumours are the records to tell and how often they were not told yet.
+	// pending are the records to tell and how often they were not told yet.
 	mu      sync.Mutex
-	rumours []rumour
+	pending []pendingRecord
 
 	seen map[uint32]uint64 // newest sequence by sender
 }
 
-// rumour is a record that is told several times, because notices are lost.
-type rumour struct {
+// pendingRecord is a record that is told several times, because notices are lost.
+type pendingRecord struct {
 	record quarantiner.Record
 	left   int
 }
@@ -132,8 +132,8 @@
 	repeats = 5
 	// maxSuspects bounds the records in a notice, so that it fits.
 	maxSuspects = 4
-	// maxRumours bounds the records that wait.
-	maxRumours = 64
+	// maxPending bounds the records that wait.
+	maxPending = 64
 )
 
 // Share tells the other daemons of records with the next notices.
@@ -141,8 +141,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, r := range records {
-		if len(a.rumours) < maxRumours {
-			a.rumours = append(a.rumours, rumour{r, repeats})
+		if len(a.pending) < maxPending {
+			a.pending = append(a.pending, pendingRecord{r, repeats})
 		}
 	}
 }
@@ -152,14 +152,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var records []quarantiner.Record
-	for i := range a.rumours {
+	for i := range a.pending {
 		if len(records) == maxSuspects {
 			break
 		}
-		records = append(records, a.rumours[i].record)
-		a.rumours[i].left--
+		records = append(records, a.pending[i].record)
+		a.pending[i].left--
 	}
-	a.rumours = slices.DeleteFunc(a.rumours, func(r rumour) bool { return r.left <= 0 })
+	a.pending = slices.DeleteFunc(a.pending, func(r pendingRecord) bool { return r.left <= 0 })
 	return records
 }
 
--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -35,8 +35,8 @@
 	return limit - s.spent - s.reserved
 }
 
-// ask adds a request to the demand.
-func (s *account) ask(now time.Time, tokens contractor.Tokens) {
+// noteDemand adds a request to the demand.
+func (s *account) noteDemand(now time.Time, tokens contractor.Tokens) {
 	s.demand = s.demandNow(now) + float64(tokens)/demandTime.Seconds()
 	s.demandAt = now
 }
@@ -45,10 +45,10 @@
 	if s.demandAt.IsZero() {
 		return 0
 	}
-	return s.demand * s.fade(now)
+	return s.demand * s.decay(now)
 }
 
-func (s *account) fade(now time.Time) float64 {
+func (s *account) decay(now time.Time) float64 {
 	return math.Exp(-now.Sub(s.demandAt).Seconds() / demandTime.Seconds())
 }
 
@@ -94,7 +94,7 @@
 		return nil, nil
 	}
 	s := a.account(name)
-	s.ask(a.config.Now(), most)
+	s.noteDemand(a.config.Now(), most)
 	if s.free(a.stage()) < most {
 		a.await(ctx, name, s, most)
 	}
@@ -107,7 +107,7 @@
 func (a *Apportioner) reserve(s *account, most contractor.Tokens) *Reservation {
 	s.reserved += most
 	if a.stage() == stageOpen && s.free(stageOpen) < most {
-		ask(a.opening) // the open part is nearly used up
+		signal(a.opening) // the open part is nearly used up
 	}
 	return &Reservation{apportioner: a, account: s, left: most}
 }
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -211,10 +211,10 @@
 	asked   time.Time
 	failing bool
 	// members is when the round of another daemon was last seen to advance.
-	members map[string]sighting
+	members map[string]memberRound
 }
 
-type sighting struct {
+type memberRound struct {
 	round int64
 	at    time.Time
 }
@@ -234,7 +234,7 @@
 		opening:  make(chan struct{}, 1),
 		accounts: make(map[contractor.Account]*account),
 		served:   make(chan struct{}),
-		rounds:   roundState{members: make(map[string]sighting)},
+		rounds:   roundState{members: make(map[string]memberRound)},
 	}
 }
 
@@ -302,9 +302,9 @@
 }
 
 // kick asks for a round at once.
-func (a *Apportioner) kick() { ask(a.kicked) }
+func (a *Apportioner) kick() { signal(a.kicked) }
 
-func ask(c chan<- struct{}) {
+func signal(c chan<- struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -191,7 +191,7 @@
 }
 
 // silent returns the daemons whose rounds have not advanced for memberTimeout.
-func silent(members map[string]sighting, now time.Time) []string {
+func silent(members map[string]memberRound, now time.Time) []string {
 	var names []string
 	for name, s := range members {
 		if now.Sub(s.at) > memberTimeout {
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -155,7 +155,7 @@
 				return err
 			}
 			r.pool, r.poolRevision = p.clone(), e.Revision
-			a.sight()
+			a.noteMembers()
 			continue
 		}
 		if e.Key != rowPrefix+a.config.Name {
@@ -209,12 +209,12 @@
 	a.kick()
 }
 
-// sight notes which daemons have made rounds.
-func (a *Apportioner) sight() {
+// noteMembers notes which daemons have made rounds.
+func (a *Apportioner) noteMembers() {
 	r, now := &a.rounds, a.config.Now()
 	for name, m := range r.pool.Members {
 		if s, ok := r.members[name]; !ok || s.round != m.Round {
-			r.members[name] = sighting{round: m.Round, at: now}
+			r.members[name] = memberRound{round: m.Round, at: now}
 		}
 	}
 	for name := range r.members {
@@ -258,7 +258,7 @@
 		s := a.account(name)
 		s.granted, s.limits = h.Granted, h.Limits
 	}
-	a.sight()
+	a.noteMembers()
 	if p.lost > 0 {
 		a.config.Recorder.Event(recorder.SharesLost, "vm", a.config.Name, "tokens", p.lost)
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -66,12 +66,12 @@
 	changed atomic.Int64
 	// known is the revision up to which all changes were told.
 	known atomic.Int64
-	poke  chan struct{}
+	news  chan struct{}
 }
 
 // New returns a follower that has read nothing.
 func New(c Config) *Follower {
-	return &Follower{config: c, start: time.Now(), poke: make(chan struct{}, 1)}
+	return &Follower{config: c, start: time.Now(), news: make(chan struct{}, 1)}
 }
 
 // Loaded reports whether all keys were read at least once.
@@ -102,7 +102,7 @@
 		return
 	}
 	select {
-	case f.poke <- struct{}{}:
+	case f.news <- struct{}{}:
 	default:
 	}
 }
@@ -156,23 +156,23 @@
 func (f *Follower) watch(ctx context.Context, answered func()) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	poked := make(chan bool)
-	go func() { poked <- f.awaitPoke(ctx, cancel) }()
+	restarted := make(chan bool)
+	go func() { restarted <- f.awaitNews(ctx, cancel) }()
 	err := f.follow(ctx, answered)
 	cancel()
-	if <-poked {
+	if <-restarted {
 		return nil
 	}
 	return err
 }
 
-// awaitPoke cancels a watch that does not tell what others have heard of, and
+// awaitNews cancels a watch that does not tell what others have heard of, and
 // reports whether it did.
-func (f *Follower) awaitPoke(ctx context.Context, cancel context.CancelFunc) bool {
+func (f *Follower) awaitNews(ctx context.Context, cancel context.CancelFunc) bool {
 	known := f.known.Load()
 	for {
 		select {
-		case <-f.poke:
+		case <-f.news:
 		case <-ctx.Done():
 			return false
 		}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -114,7 +114,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := emulator.NewStore(emulator.StoreConfig{})
 		store.PutOperator("op/config", []byte("1"))
-		f, m, stop := start(&deaf{Store: store})
+		f, m, stop := start(&silentStore{Store: store})
 		defer stop()
 		time.Sleep(time.Second)
 		store.PutOperator("op/config", []byte("2"))
@@ -131,13 +131,13 @@
 	})
 }
 
-// deaf is a store whose first watch hears nothing until it is cancelled.
-type deaf struct {
+// silentStore is a store whose first watch hears nothing until it is cancelled.
+type silentStore struct {
 	persister.Store
 	heard bool
 }
 
-func (d *deaf) Watch(ctx context.Context, prefix string, after contractor.Revision, handle func(persister.Batch) error) error {
+func (d *silentStore) Watch(ctx context.Context, prefix string, after contractor.Revision, handle func(persister.Batch) error) error {
 	if !d.heard {
 		d.heard = true
 		<-ctx.Done()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -105,14 +105,12 @@
 // its answer.
 func (x *exchange) attempt(ctx context.Context, choice placer.Choice) *failure {
 	f := x.forwarder.config
-	sent := time.Now()
 	result := placer.Result{Outcome: placer.Served}
 	answer, err := f.Sender.Send(ctx, choice.Upstream.Address, x.call(choice))
 	var failed *failure
 	if err != nil {
 		failed = x.sendFailure(err)
 	} else {
-		result.First = time.Since(sent)
 		if answer.Reply.HasLoad {
 			result.Load = &placer.Load{Running: answer.Reply.Running, Waiting: answer.Reply.Waiting, Slots: answer.Reply.Slots}
 		}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -88,8 +88,8 @@
 	// silenceTime is after how long a connection fails on which sent bytes stay
 	// unacknowledged: three retransmissions.
 	silenceTime = time.Second
-	// housekeeping is the time between two looks after idle connections and lapsed entries.
-	housekeeping = 250 * time.Millisecond
+	// maintenance is the time between two looks after idle connections and lapsed entries.
+	maintenance = 250 * time.Millisecond
 	// firstConfiguration is how long a start waits for a configuration before it
 	// serves, which it refuses until then.
 	firstConfiguration = 2 * time.Second
@@ -215,7 +215,7 @@
 	parts.Go(func() error { d.routes.Run(background); return nil })
 	parts.Go(func() error { d.upstreams.Run(background); return nil })
 	parts.Go(func() error { d.shares.Run(background); return nil })
-	parts.Go(func() error { d.keepHouse(background); return nil })
+	parts.Go(func() error { d.maintain(background); return nil })
 	parts.Go(func() error { return d.announce(background) })
 
 	side, err := d.serveSide()
@@ -281,7 +281,7 @@
 func (d *Daemon) awaitConfiguration(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, firstConfiguration)
 	defer cancel()
-	t := time.NewTicker(housekeeping / 10)
+	t := time.NewTicker(maintenance / 10)
 	defer t.Stop()
 	for d.holder.Table() == nil {
 		select {
@@ -292,9 +292,9 @@
 	}
 }
 
-// keepHouse looks after idle connections and lapsed entries.
-func (d *Daemon) keepHouse(ctx context.Context) {
-	t := time.NewTicker(housekeeping)
+// maintain looks after idle connections and lapsed entries.
+func (d *Daemon) maintain(ctx context.Context) {
+	t := time.NewTicker(maintenance)
 	defer t.Stop()
 	for {
 		select {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,7 +22,9 @@
 //	p := placer.New(placer.Config{Zone: "gulf-south-a"})
 //	choice, ok := p.Choose(now, placer.Query{Candidates: list, Parts: parts})
 //	...
-//	p.End(now, choice, placer.Result{Outcome: placer.Served, FirstByte: d})
+//	p.Answered(&choice)
+//	...
+//	p.End(now, &choice, placer.Result{Outcome: placer.Served})
 package placer
 
 import (
@@ -92,8 +94,6 @@
 // Result is what was learnt from a request.
 type Result struct {
 	Outcome Outcome
-	// First is the time to the first byte of the answer, or zero.
-	First time.Duration
 	// Load is nil when the upstream did not tell it.
 	Load *Load
 }
