follower, apportioner: news leave a slow answer alone; a lock is written once

News of other daemons restarted its watch 0.2 s after each notice, before the answer had come through. The same log has rounds that failed because a lock was written twice: a lease whose key had met conflicts, and the next one. Ruled out: the store (no store_lost or history_lost for op/ in the log). Change: a watch is left alone for 1 s, twice as long after each restart until one answers; a stage's new lock replaces the one that waits. TestNewsDoesNotInterruptASlowAnswer and TestLockIsWrittenOnce fail before.

--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -342,6 +342,24 @@
 	})
 }
 
+// A lease whose key met conflicts until the next lease is left behind.
+func TestLockIsWrittenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(5 * time.Second)
+		d := f.daemons[0]
+		d.stop()
+		time.Sleep(time.Second)
+		for range 3 {
+			time.Sleep(2 * time.Second)
+			require.NoError(t, d.lease(t.Context()))
+		}
+		p, err := d.propose()
+		require.NoError(t, err)
+		require.NoError(t, p.txn.Validate())
+	})
+}
+
 func TestLateWriteDoesNotGiveTokensTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3, 3_000_000)
--- a/apportioner/lock.go
+++ b/apportioner/lock.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -77,9 +78,11 @@
 	defer a.mu.Unlock()
 	r, now := &a.rounds, a.config.Now()
 	r.leasedAt[stage], r.lockedUntil[stage] = now, now.Add(ttl+leaseMargin)
-	r.locks = append(r.locks, persister.Put{
+	lock := persister.Put{
 		Key: a.lockKey(a.config.Incarnation, stage), Value: []byte(stages[stage].name), Lease: id,
-	})
+	}
+	r.locks = slices.DeleteFunc(r.locks, func(p persister.Put) bool { return p.Key == lock.Key })
+	r.locks = append(r.locks, lock)
 	return nil
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -33,6 +33,11 @@
 	longestPause = 500 * time.Millisecond
 	// ownTime is how much longer a watch may take to tell a change than another daemon.
 	ownTime = 200 * time.Millisecond
+	// firstPatience is how long a watch is left alone. It doubles each time that news
+	// restart a watch, up to longestPatience, until one answers: the answer may be
+	// large, and the store or the link slow.
+	firstPatience   = time.Second
+	longestPatience = 8 * time.Second
 	// pageSize is the most items that the store returns at once.
 	pageSize = 500
 )
@@ -66,12 +71,14 @@
 	changed atomic.Int64
 	// known is the revision up to which all changes were told.
 	known atomic.Int64
-	news  chan struct{}
+	// patience is how long the next watch is left alone.
+	patience time.Duration
+	news     chan struct{}
 }
 
 // New returns a follower that has read nothing.
 func New(c Config) *Follower {
-	return &Follower{config: c, start: time.Now(), news: make(chan struct{}, 1)}
+	return &Follower{config: c, start: time.Now(), news: make(chan struct{}, 1), patience: firstPatience}
 }
 
 // Loaded reports whether all keys were read at least once.
@@ -169,7 +176,7 @@
 // awaitNews cancels a watch that does not tell what others have heard of, and
 // reports whether it did.
 func (f *Follower) awaitNews(ctx context.Context, cancel context.CancelFunc) bool {
-	known := f.known.Load()
+	known, begun := f.known.Load(), time.Now()
 	for {
 		select {
 		case <-f.news:
@@ -177,11 +184,16 @@
 			return false
 		}
 		_ = sleeper.Sleep(ctx, ownTime) // the watch's own answer may be under way
-		if f.known.Load() == known && ctx.Err() == nil {
-			cancel()
-			return true
+		if now := f.known.Load(); now != known {
+			known, begun, f.patience = now, time.Now(), firstPatience
+			continue
+		}
+		if time.Since(begun) < f.patience || ctx.Err() != nil {
+			continue
 		}
-		known = f.known.Load()
+		f.patience = min(2*f.patience, longestPatience)
+		cancel()
+		return true
 	}
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -13,6 +13,7 @@
 	"laburnumline/contractor"
 	"laburnumline/emulator"
 	"laburnumline/persister"
+	"laburnumline/sleeper"
 )
 
 // mirror is a handler that keeps what it is told.
@@ -145,3 +146,33 @@
 	}
 	return d.Store.Watch(ctx, prefix, after, handle)
 }
+
+// An answer that takes long is not asked for again and again, however often others
+// tell of the change.
+func TestNewsDoesNotInterruptASlowAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		store.PutOperator("op/config", []byte("1"))
+		f, m, stop := start(&slowStore{Store: store})
+		defer stop()
+		time.Sleep(5 * time.Second)
+		store.PutOperator("op/config", []byte("2"))
+		for range 60 {
+			f.Learn(store.Revision())
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(t, "2", m.get("op/config"))
+	})
+}
+
+// slowStore takes its time to tell a change.
+type slowStore struct{ persister.Store }
+
+func (s *slowStore) Watch(ctx context.Context, prefix string, after contractor.Revision, handle func(persister.Batch) error) error {
+	return s.Store.Watch(ctx, prefix, after, func(b persister.Batch) error {
+		if err := sleeper.Sleep(ctx, time.Second); err != nil {
+			return err
+		}
+		return handle(b)
+	})
+}
