launch: watches of a large fleet do not end together

A change at 5.8 s had ended all watches together, so all 91 waited 9.1 s together, and none was there to tell the others. Ruled out: notices (sent all the time); the watches of small fleets (1.5 s). Change: the time of a watch is drawn from 0.7 s up to the longest.

--- a/cmd/laburnumline/launch.go
+++ b/cmd/laburnumline/launch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"runtime/debug"
@@ -27,11 +28,13 @@
 	// storeWatchTime is how long a watch of a small fleet waits. A store that has
 	// dropped its history tells a waiting watch nothing, and a change has to be in
 	// force within 2 s. In a larger fleet some watch ends soon enough, and its daemon
-	// tells the others, so each waits watchPerMember for each daemon, up to
-	// longestWatchTime.
-	storeWatchTime   = 1500 * time.Millisecond
-	watchPerMember   = 100 * time.Millisecond
-	longestWatchTime = 10 * time.Second
+	// tells the others, so each waits up to watchPerMember for each daemon, and up to
+	// longestWatchTime. A change ends all watches at once, so the time is drawn from
+	// shortestWatchTime on: otherwise all would end together again.
+	storeWatchTime    = 1500 * time.Millisecond
+	shortestWatchTime = 700 * time.Millisecond
+	watchPerMember    = 100 * time.Millisecond
+	longestWatchTime  = 10 * time.Second
 
 	// collectPercent lets the heap grow before it is collected: processor time is
 	// scarcer than memory, which collectShare bounds.
@@ -40,12 +43,18 @@
 	collectShare = 0.6
 )
 
-// watchTime is how long a watch waits in the daemon's fleet.
-func watchTime(d *launcher.Daemon) time.Duration {
+// watchTime draws how long a watch waits in a fleet of so many daemons.
+func watchTime(members int) time.Duration {
+	longest := min(max(time.Duration(members)*watchPerMember, storeWatchTime), longestWatchTime)
+	return shortestWatchTime + rand.N(longest-shortestWatchTime)
+}
+
+// members is the number of daemons in the fleet, as far as is known.
+func members(d *launcher.Daemon) int {
 	if d == nil {
-		return storeWatchTime
+		return 1
 	}
-	return min(max(time.Duration(d.Members())*watchPerMember, storeWatchTime), longestWatchTime)
+	return d.Members()
 }
 
 type launchCommand struct {
@@ -74,7 +83,7 @@
 	var daemon atomic.Pointer[launcher.Daemon]
 	store := platform.NewStore(platform.StoreConfig{
 		Address: settings.Store.String(), Dial: connector.Dialer(storeConnectTime, storeSilenceTime),
-		CallTime: storeCallTime, WatchTime: func() time.Duration { return watchTime(daemon.Load()) },
+		CallTime: storeCallTime, WatchTime: func() time.Duration { return watchTime(members(daemon.Load())) },
 	})
 	rec := recorder.New()
 	config := launcher.Config{Settings: settings, Adapter: platform.Adapter(store), Recorder: rec}
