messenger: a connection whose end a call has seen is not used again

Cause: quic-go closes the streams of an ended connection (Conn.run, handleCloseError) before it ends the connection's context, by which a link was judged alive. A call just after one that had failed could be sent on the dead connection and failed with its error instead of dialling.

Ruled out: the peer taking the old certificate (nothing was served); a failed dial (the error names a remote close of an open connection).

Change: the error of a call marks the link as ended when it unwraps to net.ErrClosed, as all errors of closed QUIC connections do.

TestCallOfClosedConnectionEndsIt holds the decision.

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,9 @@
 	dialer contractor.VM
 	// silent counts calls in a row during which nothing arrived.
 	silent atomic.Int32
+	// ended is set once a call has seen that the connection is closed. The
+	// connection's own context ends a moment after its streams do.
+	ended atomic.Bool
 
 	mu      sync.Mutex
 	leaving bool // the peer said goodbye
@@ -54,7 +59,15 @@
 	return true
 }
 
-func (l *link) alive() bool { return l.conn.Context().Err() == nil }
+func (l *link) alive() bool { return !l.ended.Load() && l.conn.Context().Err() == nil }
+
+// noteEnd marks the connection as closed if that is what the error of a stream
+// means. All errors of closed QUIC connections unwrap to net.ErrClosed.
+func (l *link) noteEnd(err error) {
+	if errors.Is(err, net.ErrClosed) {
+		l.ended.Store(true)
+	}
+}
 
 // received returns the number of packets that arrived on the connection.
 func (l *link) received() uint64 { return l.conn.ConnectionStats().PacketsReceived }
@@ -107,7 +120,9 @@
 		return nil, false, ErrClosing
 	}
 	defer l.end()
-	return l.send(ctx, to, method, body, limit)
+	answer, sent, err = l.send(ctx, to, method, body, limit)
+	l.noteEnd(err)
+	return answer, sent, err
 }
 
 // send sends one request on a stream of its own and waits for the answer.
--- a/messenger/quic_test.go
+++ b/messenger/quic_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -351,3 +352,32 @@
 	require.ErrorIs(t, err, ErrUnreachable)
 	require.Equal(t, served, b.counts.served.Count())
 }
+
+// A call that learns of the end of its connection before the connection's
+// context ends makes the next call open a new one.
+func TestCallOfClosedConnectionEndsIt(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("vm-a", nil), f.start("vm-b", nil)
+	_, err := echo(a, b.Self(), "hi")
+	require.NoError(t, err)
+	l, err := a.link(t.Context(), b.Self())
+	require.NoError(t, err)
+	tests := []struct {
+		err   error
+		alive bool
+	}{
+		{nil, true},
+		{&quic.StreamError{ErrorCode: codeGivenUp, Remote: true}, true},
+		{context.DeadlineExceeded, true},
+		{&quic.ApplicationError{ErrorCode: codeRefused, Remote: true}, false},
+	}
+	for _, tt := range tests {
+		l.noteEnd(tt.err)
+		require.Equal(t, tt.alive, l.alive(), "%v", tt.err)
+	}
+	_, err = echo(a, b.Self(), "again")
+	require.NoError(t, err)
+	renewed, err := a.link(t.Context(), b.Self())
+	require.NoError(t, err)
+	require.NotSame(t, l, renewed)
+}
