lender: daemons lend each other tokens of an account

Cause: a share that was used up was refilled only by a transaction with the pool, which excludes those of all others.

Change: a daemon that lacks tokens asks another one over UDP, which counts them as spent before it answers; the borrower credits each answer once, as spent the less. The sum of the rows stays, and what a killed lender has lent lies within what it may have spent. Questions are repeated and known ones answered as before, so that a lost datagram loses nothing. When a balance is too small to give each daemon one request, a few hold it, ranked by a hash, and the others borrow.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -96,7 +96,7 @@
 	s := a.account(name)
 	s.noteDemand(a.config.Now(), most)
 	if s.free(a.stage()) < most {
-		a.await(ctx, name, s, most)
+		a.obtain(ctx, name, s, most)
 	}
 	if s.free(a.stage()) < most {
 		return nil, a.refusal(name, s, most)
@@ -104,6 +104,29 @@
 	return a.reserve(s, most), nil
 }
 
+// obtain tries to get what a request lacks: from the locked part of the daemon's own
+// grant, which a round opens, else from another daemon, else from the pool.
+func (a *Apportioner) obtain(ctx context.Context, name contractor.Account, s *account, most contractor.Tokens) {
+	if a.unreachable() || s.granted-s.spent-s.reserved-s.needed < most {
+		a.borrow(ctx, name, most)
+		if s.free(a.stage()) >= most {
+			return
+		}
+	}
+	a.await(ctx, s, most, func() contractor.Tokens { return a.obtainable(name, s) })
+}
+
+// borrow asks other daemons, with the lock released, unless the account has as good as
+// nothing left at all.
+func (a *Apportioner) borrow(ctx context.Context, name contractor.Account, most contractor.Tokens) {
+	if a.config.Borrow == nil || !a.rounds.joined || a.bounds[name]-a.rounds.pool.sums(name).Spent < most {
+		return
+	}
+	a.mu.Unlock()
+	defer a.mu.Lock()
+	a.config.Borrow(ctx, name, most)
+}
+
 func (a *Apportioner) reserve(s *account, most contractor.Tokens) *Reservation {
 	s.reserved += most
 	if a.stage() == stageOpen && s.free(stageOpen) < most {
@@ -112,9 +135,10 @@
 	return &Reservation{apportioner: a, account: s, left: most}
 }
 
-// await waits, with the lock released, for rounds that bring what a request lacks.
-func (a *Apportioner) await(ctx context.Context, name contractor.Account, s *account, most contractor.Tokens) {
-	if a.unreachable() || a.obtainable(name, s) < most {
+// await waits, with the lock released, for rounds that bring what a request lacks, as
+// long as that much can be obtained.
+func (a *Apportioner) await(ctx context.Context, s *account, most contractor.Tokens, obtainable func() contractor.Tokens) {
+	if a.unreachable() || obtainable() < most {
 		return
 	}
 	s.needed += most
@@ -134,7 +158,7 @@
 			expired = true
 		}
 		a.mu.Lock()
-		if expired || s.free(a.stage()) >= most || a.unreachable() || a.obtainable(name, s) < most {
+		if expired || s.free(a.stage()) >= most || a.unreachable() || obtainable() < most {
 			return
 		}
 	}
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -39,6 +39,7 @@
 package apportioner
 
 import (
+	"context"
 	"net/netip"
 	"sync"
 	"time"
@@ -112,6 +113,9 @@
 	// that needs it, about one request of middling length. Smaller ones are left in
 	// the pool, where any daemon can use them.
 	leastShare = 12_000
+	// holderShare is the share of each holder of a balance that is too small for all, so
+	// that its open part covers a request.
+	holderShare = 5 * leastShare
 	// nearlySpentShare is the part of a balance below which it counts as nearly spent.
 	nearlySpentShare = 0.01
 	// demandExcess is how much more than the demand the later stages cover.
@@ -160,7 +164,9 @@
 	// Incarnation differs in each run of the daemon.
 	Incarnation contractor.Incarnation
 	// Dealt is the part of a balance that is dealt out. Zero means defaultDealt.
-	Dealt    float64
+	Dealt float64
+	// Borrow asks other daemons for tokens, which it credits. Nil means that nobody lends.
+	Borrow   func(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens
 	Recorder *recorder.Recorder
 	// Now returns the time. Nil means time.Now.
 	Now func() time.Time
--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -71,10 +71,16 @@
 	prepaid contractor.Tokens
 	spent   contractor.Tokens // by all runs of all daemons
 	dealt   float64
+	// loans decides who lends and which answers are lost or late. Nil means no loans.
+	loans *rand.Rand
 }
 
 func newFleet(count int, prepaid contractor.Tokens) *fleet {
-	f := &fleet{store: emulator.NewStore(emulator.StoreConfig{Seed: 1}), prepaid: prepaid}
+	return newLendingFleet(count, prepaid, nil)
+}
+
+func newLendingFleet(count int, prepaid contractor.Tokens, loans *rand.Rand) *fleet {
+	f := &fleet{store: emulator.NewStore(emulator.StoreConfig{Seed: 1}), prepaid: prepaid, loans: loans}
 	for i := range count {
 		d := &daemon{name: fmt.Sprintf("edge-%d", i), link: &link{Store: f.store}}
 		f.daemons = append(f.daemons, d)
@@ -87,7 +93,7 @@
 func (f *fleet) launch(d *daemon) {
 	d.run++
 	d.Apportioner = New(Config{
-		Store: d.link, Name: d.name, Dealt: f.dealt,
+		Store: d.link, Name: d.name, Dealt: f.dealt, Borrow: f.borrower(d),
 		Incarnation: contractor.Incarnation(d.run*1000 + uint64(len(d.name)+int(d.name[5]))),
 	})
 	d.SetBounds(map[contractor.Account]contractor.Tokens{testAccount: f.prepaid})
@@ -96,6 +102,30 @@
 	go d.Run(ctx)
 }
 
+// borrower returns a way to borrow from another daemon for the next run of d. Some
+// answers are lost, and some are late.
+func (f *fleet) borrower(d *daemon) func(context.Context, contractor.Account, contractor.Tokens) contractor.Tokens {
+	if f.loans == nil {
+		return nil
+	}
+	return func(ctx context.Context, name contractor.Account, tokens contractor.Tokens) contractor.Tokens {
+		lender := f.daemons[f.loans.IntN(len(f.daemons))]
+		if lender == d {
+			return 0
+		}
+		run, lent := d.Apportioner, lender.Lend(ctx, name, tokens)
+		switch f.loans.IntN(10) {
+		case 0:
+			return 0
+		case 1:
+			time.AfterFunc(time.Second, func() { run.Credit(name, lent) })
+			return 0
+		}
+		run.Credit(name, lent)
+		return lent
+	}
+}
+
 func (f *fleet) stopAll() {
 	for _, d := range f.daemons {
 		d.stop()
@@ -454,13 +484,25 @@
 func TestNothingIsOverspent(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playFaults(t, rand.New(rand.NewPCG(seed, 7))) })
+			synctest.Test(t, func(t *testing.T) { playFaults(t, rand.New(rand.NewPCG(seed, 7)), nil) })
+		})
+	}
+}
+
+// TestNothingIsOverspentWithLoans plays the same while the daemons lend each other
+// tokens, whatever cuts them from the store.
+func TestNothingIsOverspentWithLoans(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				playFaults(t, rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8)))
+			})
 		})
 	}
 }
 
-func playFaults(t *testing.T, random *rand.Rand) {
-	f := newFleet(5, 4_000_000)
+func playFaults(t *testing.T, random, loans *rand.Rand) {
+	f := newLendingFleet(5, 4_000_000, loans)
 	defer f.stopAll()
 	time.Sleep(3 * time.Second)
 	for range 400 {
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -105,6 +105,8 @@
 	// evenPart of the dealt tokens goes to all daemons alike, because clients move
 	// to daemons where an account had no demand yet.
 	evenPart = 0.12
+	// holderPart is what the holders of a balance get that is too small for all.
+	holderPart = 0.6
 	// slack is by how much a share may differ from its target before it is changed,
 	// so that rounds end.
 	slack = 0.1
@@ -121,8 +123,10 @@
 	// fullness is the part of the balance that is not spent.
 	fullness float64
 	members  int
-	dealt    float64
-	leaving  bool
+	// holder is true for the daemons that hold a balance that is too small for all.
+	holder  bool
+	dealt   float64
+	leaving bool
 }
 
 // grant returns what the daemon's row shall grant, given the sums that already
@@ -167,13 +171,23 @@
 
 // target is the share of what is left that the daemon holds in calm times.
 func (q *position) target(s sums) contractor.Tokens {
-	left := max(q.prepaid-s.Spent, 0)
-	even := 1 / float64(max(q.members, 1))
-	part := even
+	dealt := q.dealt * float64(max(q.prepaid-s.Spent, 0))
+	members := max(q.members, 1)
+	count, even := holders(dealt, members), evenPart
+	switch {
+	case s.Demand <= 0:
+		even = 1
+	case count < members:
+		even = holderPart
+	}
+	part := 0.0
+	if count == members || q.holder {
+		part = even / float64(count)
+	}
 	if s.Demand > 0 {
-		part = evenPart*even + (1-evenPart)*float64(q.Demand)/float64(s.Demand)
+		part += (1 - even) * float64(q.Demand) / float64(s.Demand)
 	}
-	target := contractor.Tokens(q.dealt * part * float64(left))
+	target := contractor.Tokens(dealt * part)
 	if target < leastShare {
 		return 0
 	}
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -112,6 +113,7 @@
 			prepaid: a.bounds[name], members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
 			fullness: a.fullness(name), locked: a.leaseTime(stageOpen),
 		}
+		q.holder = p.deals && a.holds(name, &p.pool)
 		if p.deals {
 			next.Demand = float32(q.rate)
 			if a.rounds.leaving {
@@ -132,6 +134,14 @@
 	}
 }
 
+// holds reports whether this daemon holds the balance of an account when it is too
+// small for all.
+func (a *Apportioner) holds(name contractor.Account, p *pool) bool {
+	dealt := a.config.Dealt * float64(a.bounds[name]-p.sums(name).Spent)
+	count := holders(dealt, len(p.Members))
+	return count >= len(p.Members) || slices.Contains(rank(name, p.Members)[:count], a.config.Name)
+}
+
 // fullness is the part of an account's balance that is not spent, as far as is known.
 func (a *Apportioner) fullness(name contractor.Account) float64 {
 	prepaid := a.bounds[name]
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -30,6 +30,7 @@
 	"laburnumline/director"
 	"laburnumline/follower"
 	"laburnumline/forwarder"
+	"laburnumline/lender"
 	"laburnumline/persister"
 	"laburnumline/placer"
 	"laburnumline/quarantiner"
@@ -47,7 +48,10 @@
 	Front, Ready netip.AddrPort
 	// Internal is the first address for the daemons' own calls.
 	Internal netip.AddrPort
-	Store    netip.AddrPort
+	// Loans is the address for loans between daemons, which has the same port on all.
+	// The zero value means that nobody lends.
+	Loans netip.AddrPort
+	Store netip.AddrPort
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
 	// Grace is the time between the signal to stop and the end of the process.
@@ -110,6 +114,7 @@
 	run       contractor.Incarnation
 	suspects  *quarantiner.Quarantiner
 	announcer atomic.Pointer[announcer.Announcer]
+	lender    atomic.Pointer[lender.Lender]
 	holder    *director.Holder
 	registrar *registrar.Registrar
 	shares    *apportioner.Apportioner
@@ -135,7 +140,7 @@
 	s, rec := c.Settings, c.Recorder
 	d.run = contractor.Incarnation(rand.Uint64())
 	d.shares = apportioner.New(apportioner.Config{
-		Store: c.Adapter.Store, Name: s.Name, Address: s.Internal, Incarnation: d.run, Recorder: rec,
+		Store: c.Adapter.Store, Name: s.Name, Address: s.Internal, Incarnation: d.run, Borrow: d.borrow, Recorder: rec,
 	})
 	d.placer = placer.New(placer.Config{Zone: s.Zone})
 	dial := connector.Dialer(connectTime, silenceTime)
@@ -217,6 +222,7 @@
 	parts.Go(func() error { d.shares.Run(background); return nil })
 	parts.Go(func() error { d.maintain(background); return nil })
 	parts.Go(func() error { return d.announce(background) })
+	parts.Go(func() error { return d.lend(background) })
 
 	side, err := d.serveSide()
 	if err != nil {
@@ -252,6 +258,41 @@
 	return nil
 }
 
+// lend answers other daemons that lack tokens, until ctx ends.
+func (d *Daemon) lend(ctx context.Context) error {
+	address := d.config.Settings.Loans
+	if !address.IsValid() {
+		return nil
+	}
+	conn, err := lender.Listen(address)
+	if err != nil {
+		d.config.Recorder.Event(recorder.LoanFailed, "step", "listen", "err", err)
+		return err
+	}
+	l := lender.New(lender.Config{Conn: conn, Book: d.shares, Peers: d.lenders, Recorder: d.config.Recorder})
+	d.lender.Store(l)
+	l.Run(ctx)
+	return nil
+}
+
+// lenders returns where other daemons answer that may lend.
+func (d *Daemon) lenders(account contractor.Account) []netip.AddrPort {
+	addresses := d.shares.Lenders(account)
+	for i, a := range addresses {
+		addresses[i] = netip.AddrPortFrom(a.Addr(), d.config.Settings.Loans.Port())
+	}
+	return addresses
+}
+
+// borrow asks other daemons for tokens.
+func (d *Daemon) borrow(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens {
+	l := d.lender.Load()
+	if l == nil {
+		return 0
+	}
+	return l.Borrow(ctx, account, tokens)
+}
+
 // Revisions returns the newest changes of the configuration and of the upstreams.
 func (d *Daemon) Revisions() []contractor.Revision {
 	return []contractor.Revision{d.routes.Changed(), d.upstreams.Changed()}
--- a/recorder/catalogue_budgets.go
+++ b/recorder/catalogue_budgets.go
@@ -11,6 +11,13 @@
 	SharesUnreachable Code = 1102
 	// SharesLost is logged when what an ended run of the daemon held counts as spent.
 	SharesLost Code = 1103
+	// LoanTaken is logged when another daemon has lent tokens of an account.
+	LoanTaken Code = 1104
+	// LoanUnanswered is logged when a daemon has not answered whether it lends. What it
+	// may have lent is lost to the account.
+	LoanUnanswered Code = 1105
+	// LoanFailed is logged when a message about a loan cannot be written or read.
+	LoanFailed Code = 1106
 )
 
 var _ = declare(areaNames{
@@ -20,4 +27,7 @@
 	ShareTaken:        "share_taken",
 	SharesUnreachable: "shares_unreachable",
 	SharesLost:        "shares_lost",
+	LoanTaken:         "loan_taken",
+	LoanUnanswered:    "loan_unanswered",
+	LoanFailed:        "loan_failed",
 })
