apportioner, follower: cuts of large fleets serve long requests; no crowds

Cause: on the grown site a share is about one request, but its open part was at most 16% of it, so in a cut nothing but short requests fitted (refused 20 to 45% of each second).

Change: the open part covers a long request, in proportion to what is left of the balance; each daemon's share does too while the balance is ample. A deal in a large fleet that met a second conflict is put off for a second, and the round settles its own row. One daemon, the first in a rank, takes a silent one out, from the pool as it is then, and later in a large fleet. Changes of upstreams are collected for 6 ms per daemon.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -77,6 +77,9 @@
 	joinPause = 50 * time.Millisecond
 	// conflictPause is the mean wait after a conflict; it grows with each one.
 	conflictPause = 5 * time.Millisecond
+	// crowdPerMember is the mean time per daemon after which a deal is tried again that
+	// others have come before: a transaction takes 8 to 15 ms, and all may try at once.
+	crowdPerMember = 12 * time.Millisecond
 	// reserveWait is how long a request waits for a round that brings tokens. A
 	// round takes two calls of 4 ms; the objectives begin at 500 ms.
 	reserveWait = 250 * time.Millisecond
@@ -113,6 +116,9 @@
 	// that needs it, about one request of middling length. Smaller ones are left in
 	// the pool, where any daemon can use them.
 	leastShare = 12_000
+	// longRequest is a long request in tokens, which each daemon can cover while a balance
+	// is ample. The users' longest kind takes 17,000 on average.
+	longRequest = 20_000
 	// holderShare is the share of each holder of a balance that is too small for all, so
 	// that its open part covers a request.
 	holderShare = 5 * leastShare
@@ -206,8 +212,9 @@
 	// stage that it cannot have left, or len(stages).
 	predecessor contractor.Incarnation
 	before      int
-	// dealtAt is when the daemon last dealt.
-	dealtAt time.Time
+	// dealtAt is when the daemon last dealt, and dealAfter when it tries again after
+	// others have changed the pool at the same time.
+	dealtAt, dealAfter time.Time
 	// leasedAt is when the daemon last got a lease of a stage, and lockedUntil when
 	// all of its leases have ended in any case.
 	leasedAt, lockedUntil [len(stages)]time.Time
--- a/apportioner/loan.go
+++ b/apportioner/loan.go
@@ -67,15 +67,15 @@
 // holders is the number of daemons that hold an account's balance: all, while each can
 // have a share that is of use, else as many as can.
 func holders(dealt float64, members int) int {
-	if dealt >= leastShare*float64(members) {
+	if mostEven*dealt >= leastShare*float64(members) {
 		return members
 	}
 	return max(int(dealt/holderShare), 1)
 }
 
 // rank orders the members for an account, the same on every daemon: the first ones hold
-// the account's balance when it is too small for all.
-func rank(name contractor.Account, members map[string]member) []string {
+// the account's balance when it is too small for all. It also orders them for a VM.
+func rank[T ~string](name T, members map[string]member) []string {
 	weights := make(map[string]uint64, len(members))
 	names := make([]string, 0, len(members))
 	key := xxhash.Sum64String(string(name))
--- a/apportioner/member.go
+++ b/apportioner/member.go
@@ -4,21 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"laburnumline/persister"
 )
 
-// forgetSilent takes daemons out of the pool that have made no round for long.
+// forgetSilent takes daemons out of the pool that have made no round for long. One daemon
+// does so for each of them, so that a large fleet does not try at once.
 func (a *Apportioner) forgetSilent(ctx context.Context) error {
-	a.mu.Lock()
-	names := silent(a.rounds.members, a.config.Now())
-	a.mu.Unlock()
-	for _, name := range names {
-		if name == a.config.Name {
-			continue
-		}
+	for _, name := range a.silentHere() {
 		if err := a.forget(ctx, name); err != nil {
 			return err
 		}
@@ -26,7 +22,29 @@
 	return nil
 }
 
+// silentHere returns the silent daemons that this one takes out: it is the first that is
+// not silent in their rank.
+func (a *Apportioner) silentHere() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	names := silent(a.rounds.members, a.config.Now(), a.paced(memberTimeout))
+	names = slices.DeleteFunc(names, func(name string) bool { return name == a.config.Name })
+	return slices.DeleteFunc(names, func(name string) bool {
+		for _, vm := range rank(name, a.rounds.pool.Members) {
+			if !slices.Contains(names, vm) {
+				return vm != a.config.Name
+			}
+		}
+		return true
+	})
+}
+
+// forget takes one daemon out, as of what the pool is now: the round's own copy may be
+// some seconds old.
 func (a *Apportioner) forget(ctx context.Context, name string) error {
+	if err := a.reread(ctx); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := a.config.Store.Get(ctx, rowPrefix+name)
@@ -51,9 +69,6 @@
 	if err != nil {
 		return fmt.Errorf("encode row: %w", err)
 	}
-	a.mu.Lock()
-	a.rounds.known = false
-	a.mu.Unlock()
 	_, err = a.config.Store.Commit(ctx, persister.Txn{
 		Compares: []persister.Compare{{Key: poolKey, Revision: revision}, {Key: rowPrefix + name, Revision: entry.Revision}},
 		Puts:     []persister.Put{{Key: poolKey, Value: shared}, {Key: rowPrefix + name, Value: own}},
@@ -61,5 +76,13 @@
 	if err != nil && !errors.Is(err, persister.ErrConflict) {
 		return err
 	}
+	return a.reread(ctx)
+}
+
+// reread reads pool and row anew.
+func (a *Apportioner) reread(ctx context.Context) error {
+	a.mu.Lock()
+	a.rounds.known = false
+	a.mu.Unlock()
 	return a.refresh(ctx)
 }
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -105,8 +105,9 @@
 	// evenPart of the dealt tokens goes to all daemons alike, because clients move
 	// to daemons where an account had no demand yet.
 	evenPart = 0.12
-	// holderPart is what the holders of a balance get that is too small for all.
-	holderPart = 0.6
+	// mostEven is the most of the dealt tokens that goes to all daemons, or to the holders
+	// of a balance that is too small for all.
+	mostEven = 0.6
 	// slack is by how much a share may differ from its target before it is changed,
 	// so that rounds end.
 	slack = 0.1
@@ -156,12 +157,14 @@
 	return min(max(min(wanted, unallocated-kept), missing, 0), unallocated)
 }
 
-// limits returns up to where the daemon's row lets it spend in each stage.
+// limits returns up to where the daemon's row lets it spend in each stage. The open part
+// covers a long request while the balance is full, also of an account that the daemon
+// rarely serves: a part that no request fits into is of no use in a cut.
 func (q *position) limits() [len(stages)]contractor.Tokens {
 	var limits [len(stages)]contractor.Tokens
 	held := float64(q.Granted - q.Spent)
 	share := openShare + fullOpenShare*q.fullness*q.fullness
-	part := min(q.rate*q.locked.Seconds(), held*share)
+	part := max(min(q.rate*q.locked.Seconds(), held*share), min(held, longRequest*q.fullness))
 	for i, t := range stages {
 		part += max(demandExcess*q.rate*t.cover.Seconds(), held*t.share)
 		limits[i] = min(q.Granted, q.Spent+q.reserved+q.needed+contractor.Tokens(part))
@@ -173,12 +176,9 @@
 func (q *position) target(s sums) contractor.Tokens {
 	dealt := q.dealt * float64(max(q.prepaid-s.Spent, 0))
 	members := max(q.members, 1)
-	count, even := holders(dealt, members), evenPart
-	switch {
-	case s.Demand <= 0:
+	count, even := holders(dealt, members), evenOf(dealt, members)
+	if s.Demand <= 0 {
 		even = 1
-	case count < members:
-		even = holderPart
 	}
 	part := 0.0
 	if count == members || q.holder {
@@ -194,6 +194,12 @@
 	return target
 }
 
+// evenOf is the part of the dealt tokens that goes to all daemons alike, or to the
+// holders: as much as gives each a long request, within bounds.
+func evenOf(dealt float64, members int) float64 {
+	return min(max(longRequest*float64(members)/max(dealt, 1), evenPart), mostEven)
+}
+
 // forget takes the demand of a daemon that has gone silent out of the sums. Its row
 // keeps what it was granted.
 func (p *pool) forget(name string, r *row) {
@@ -204,11 +210,11 @@
 	}
 }
 
-// silent returns the daemons whose rounds have not advanced for memberTimeout.
-func silent(members map[string]memberRound, now time.Time) []string {
+// silent returns the daemons whose rounds have not advanced for the timeout.
+func silent(members map[string]memberRound, now time.Time, timeout time.Duration) []string {
 	var names []string
 	for name, s := range members {
-		if now.Sub(s.at) > memberTimeout {
+		if now.Sub(s.at) > timeout {
 			names = append(names, name)
 		}
 	}
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -65,6 +65,9 @@
 	if a.bounds == nil {
 		return false // what accounts have prepaid is not known yet
 	}
+	if now.Before(r.dealAfter) {
+		return false
+	}
 	if r.leaving || r.dealtAt.IsZero() {
 		return true
 	}
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -112,6 +112,9 @@
 		if !errors.Is(err, persister.ErrConflict) {
 			return err
 		}
+		if p.deals && try > 0 {
+			a.yieldDeal()
+		}
 		if sleeper.Sleep(ctx, rand.N(time.Duration(try+1)*2*conflictPause)) != nil {
 			return ctx.Err()
 		}
@@ -119,6 +122,19 @@
 	return fmt.Errorf("round: %w in %d transactions", persister.ErrConflict, maxTries)
 }
 
+// yieldDeal puts the deal off in a large fleet, so that the round settles the daemon's own
+// row only. The first conflict is no sign of a crowd: it brings the pool's current state.
+func (a *Apportioner) yieldDeal() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	members := len(a.rounds.pool.Members)
+	if members <= smallFleet || a.rounds.leaving {
+		return
+	}
+	mean := time.Duration(members) * crowdPerMember
+	a.rounds.dealAfter = a.config.Now().Add(mean/2 + rand.N(mean))
+}
+
 // refresh reads pool and row when what is known may be old.
 func (a *Apportioner) refresh(ctx context.Context) error {
 	a.mu.Lock()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -52,9 +52,12 @@
 
 // Config holds what a Follower needs.
 type Config struct {
-	Store    persister.Store
-	Prefix   string
-	Handler  Handler
+	Store   persister.Store
+	Prefix  string
+	Handler Handler
+	// Collect returns how long to collect further changes after some have come, before
+	// the store is asked again. Nil means not at all.
+	Collect  func() time.Duration
 	Recorder *recorder.Recorder
 }
 
@@ -207,6 +210,9 @@
 		f.known.Store(int64(f.after))
 		f.answered()
 		answered()
+		if len(b.Changes) > 0 && f.config.Collect != nil {
+			return sleeper.Sleep(ctx, f.config.Collect())
+		}
 		return nil
 	})
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -176,3 +176,40 @@
 		return handle(b)
 	})
 }
+
+// groupHandler counts the groups of changes that arrive together.
+type groupHandler struct {
+	mirror
+	groups int
+	last   time.Time
+}
+
+func (h *groupHandler) Apply(c persister.Change) {
+	if time.Since(h.last) > 0 {
+		h.groups++
+	}
+	h.last = time.Now()
+	h.mirror.Apply(c)
+}
+
+// Upstreams that start one by one would answer every daemon's watch once each.
+func TestChangesAreCollected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		h := &groupHandler{}
+		f := New(Config{
+			Store: store, Prefix: "op/", Handler: h, Collect: func() time.Duration { return 500 * time.Millisecond },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		for i := range 20 {
+			store.PutOperator("op/"+strconv.Itoa(i), []byte("new"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, "new", h.get("op/19"))
+		require.LessOrEqual(t, h.groups, 5)
+	})
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -154,6 +154,7 @@
 	})
 	d.upstreams = follower.New(follower.Config{
 		Store: c.Adapter.Store, Prefix: c.Adapter.UpstreamPrefix, Recorder: rec, Handler: d.registrar,
+		Collect: func() time.Duration { return collectTime(d.Members()) },
 	})
 	d.suspects = quarantiner.New(quarantiner.Config{
 		MaxVictims: maxVictims, Memory: suspectMemory, Share: d.share, Recorder: rec,
@@ -310,6 +311,19 @@
 // Members returns the number of daemons of the fleet, as far as is known.
 func (d *Daemon) Members() int { return d.shares.Members() }
 
+const (
+	// collectPerMember and longestCollect are how long changes of upstreams are collected
+	// in a fleet of so many daemons. Each change answers the watches of all of them, and
+	// when a fleet starts, upstreams come one by one. A change must be known within 2 s.
+	collectPerMember = 6 * time.Millisecond
+	longestCollect   = 600 * time.Millisecond
+)
+
+// collectTime is how long changes of upstreams are collected.
+func collectTime(members int) time.Duration {
+	return min(time.Duration(members)*collectPerMember, longestCollect)
+}
+
 // listen opens a listener.
 func listen(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
