gauger, launcher: a daemon whose link is full takes no new connections

Cause: on quotes grown the client of a large account sends one daemon of 10 Mbit/s more than that carries.

Change: package gauger counts the bytes of all connections; after a second of a full link the daemon is not ready and ends connections after their answer, until the link was half empty for two seconds. The width comes from the settings.

The client fills the next small VM's link in turn.

--- /dev/null
+++ b/gauger/gauger_test.go
@@ -0,0 +1,87 @@
+package gauger
+
+import (
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// clock is the time of a test.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func TestUseIsThatOfTheLastMoments(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	g := New(Config{BytesPerSecond: 10_000, Now: c.Now})
+	g.count(1000, 2000)
+	in, out := g.Use()
+	require.InDelta(t, 0.25, in, 1e-9)
+	require.InDelta(t, 0.5, out, 1e-9)
+	c.now = c.now.Add(7 * slotTime)
+	g.count(1000, 0)
+	in, out = g.Use()
+	require.InDelta(t, 0.5, in, 1e-9)
+	require.InDelta(t, 0.5, out, 1e-9)
+	c.now = c.now.Add(slotTime)
+	in, out = g.Use()
+	require.InDelta(t, 0.25, in, 1e-9)
+	require.Zero(t, out)
+	c.now = c.now.Add(time.Hour)
+	in, _ = g.Use()
+	require.Zero(t, in)
+}
+
+func TestUnknownLinkIsNeverInUse(t *testing.T) {
+	g := New(Config{})
+	g.count(1<<30, 1<<30)
+	in, out := g.Use()
+	require.Zero(t, in)
+	require.Zero(t, out)
+}
+
+// Both ends of a connection count what they carry, and its descriptor can be reached.
+func TestConnectionsAreCounted(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	server, client := New(Config{BytesPerSecond: 10_000, Now: c.Now}), New(Config{BytesPerSecond: 10_000, Now: c.Now})
+	below, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := server.Listener(below)
+	defer l.Close()
+	done := make(chan error, 1)
+	go func() {
+		accepted, err := l.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		defer accepted.Close()
+		_, err = io.CopyN(accepted, accepted, 400) // back to the sender
+		done <- err
+	}()
+	dial := client.Dialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	})
+	c1, err := dial(t.Context(), "tcp", below.Addr().String())
+	require.NoError(t, err)
+	defer c1.Close()
+	_, err = c1.Write(make([]byte, 400))
+	require.NoError(t, err)
+	_, err = io.ReadFull(c1, make([]byte, 400))
+	require.NoError(t, err)
+	require.NoError(t, <-done)
+	for _, g := range []*Gauger{server, client} {
+		in, out := g.Use()
+		require.InDelta(t, 0.1, in, 1e-9)
+		require.InDelta(t, 0.1, out, 1e-9)
+	}
+	_, err = c1.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	_, err = (&conn{}).SyscallConn()
+	require.ErrorIs(t, err, errNoDescriptor)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -30,6 +30,7 @@
 	"laburnumline/director"
 	"laburnumline/follower"
 	"laburnumline/forwarder"
+	"laburnumline/gauger"
 	"laburnumline/lender"
 	"laburnumline/persister"
 	"laburnumline/placer"
@@ -54,6 +55,8 @@
 	Store netip.AddrPort
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
+	// Link is the width of the VM's network link in bytes per second, or zero.
+	Link float64
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace time.Duration
 	// RetryRatio bounds the retries of the fleet, as a part of its requests.
@@ -120,6 +123,7 @@
 	shares    *apportioner.Apportioner
 	placer    *placer.Placer
 	pool      *connector.Pool
+	link      *gauger.Gauger
 	forwarder *forwarder.Forwarder
 	routes    *follower.Follower
 	upstreams *follower.Follower
@@ -128,6 +132,7 @@
 	forgotten int64
 
 	stopping atomic.Bool
+	crowd    crowd
 	ready    atomic.Bool
 }
 
@@ -143,7 +148,8 @@
 		Store: c.Adapter.Store, Name: s.Name, Address: s.Internal, Incarnation: d.run, Borrow: d.borrow, Recorder: rec,
 	})
 	d.placer = placer.New(placer.Config{Zone: s.Zone})
-	dial := connector.Dialer(connectTime, silenceTime)
+	d.link = gauger.New(gauger.Config{BytesPerSecond: s.Link})
+	dial := d.link.Dialer(connector.Dialer(connectTime, silenceTime))
 	d.pool = connector.New(connector.Config{
 		Dial: dial, Read: c.Adapter.ReadReply, Recorder: rec,
 	})
@@ -360,6 +366,7 @@
 			d.forgetGone()
 			d.pool.Limit(d.connectionShare())
 			d.pool.Sweep(now)
+			d.crowd.update(now, d.link)
 			d.updateReady()
 		}
 	}
@@ -401,7 +408,7 @@
 func (d *Daemon) updateReady() {
 	ready := d.isReady()
 	if d.ready.Swap(ready) != ready {
-		d.config.Recorder.Event(recorder.ReadinessChanged, "ready", ready, "stopping", d.stopping.Load(),
+		d.config.Recorder.Event(recorder.ReadinessChanged, "ready", ready, "stopping", d.stopping.Load(), "crowded", d.crowd.full.Load(),
 			"configuration", d.holder.Table() != nil, "upstreams", d.upstreams.Loaded(), "shares", d.shares.Joined())
 	}
 }
@@ -410,7 +417,7 @@
 // and shares of the balances, however old they are.
 func (d *Daemon) isReady() bool {
 	table := d.holder.Table()
-	if d.stopping.Load() || table == nil || !d.upstreams.Loaded() {
+	if d.stopping.Load() || d.crowd.full.Load() || table == nil || !d.upstreams.Loaded() {
 		return false
 	}
 	return !table.HasAccounts() || d.shares.Joined()
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -61,7 +61,7 @@
 	}
 	inner := d.config.Adapter.Front(d.forwarder)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.stopping.Load() {
+		if d.stopping.Load() || d.crowd.full.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		inner.ServeHTTP(w, r)
@@ -73,7 +73,7 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ErrorLog:          d.config.Recorder.HTTPErrorLog("front"),
 	}
-	go d.serve(server, listener)
+	go d.serve(server, d.link.Listener(listener))
 	return server, nil
 }
 
