apportioner, launcher: leases of a large fleet are renewed with its rounds

Cause: rounds of 91 daemons come every 3.25 s, and each got three new leases, though leases of the later stages last 9 and 14 s; and 93 upstreams that start one by one answered 91 watches every 0.6 s.

--- a/apportioner/lock.go
+++ b/apportioner/lock.go
@@ -64,7 +64,7 @@
 
 func (a *Apportioner) leaseStage(ctx context.Context, stage int) error {
 	a.mu.Lock()
-	due := a.config.Now().Sub(a.rounds.leasedAt[stage]) >= stages[stage].renewal
+	due := a.config.Now().Sub(a.rounds.leasedAt[stage]) >= a.paced(stages[stage].renewal)
 	ttl := a.leaseTime(stage)
 	a.mu.Unlock()
 	if !due {
