--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -117,8 +117,8 @@
 	// the pool, where any daemon can use them.
 	leastShare = 12_000
 	// longRequest is a long request in tokens, which each daemon can cover while a balance
-	// is ample. The users' longest kind takes 17,000 on average.
-	longRequest = 20_000
+	// is ample. The users' longest kind takes 17,000 on average, its longest tenth 38,000.
+	longRequest = 40_000
 	// holderShare is the share of each holder of a balance that is too small for all, so
 	// that its open part covers a request.
 	holderShare = 5 * leastShare
