lender: several daemons lend parts of what a request needs

Cause: near the end of a balance no daemon holds all that a long request needs, and a loan was all or nothing.

Change: a lender gives what it has, opening its own locked part first, and the borrower asks the next for the rest, up to four.

--- a/apportioner/loan.go
+++ b/apportioner/loan.go
@@ -13,8 +13,10 @@
 	"laburnumline/contractor"
 )
 
-// Lend gives tokens of an account to another daemon, all or none, and counts them as
-// spent here. What an ended run has lent is thereby within what it may have spent.
+// leastLoan is the least part of a request that is worth a message, in tokens.
+const leastLoan = 1000
+
+// Lend gives another daemon as many of the tokens as it can, and counts them as spent here. What an ended run has lent is thereby within what it may have spent.
 func (a *Apportioner) Lend(ctx context.Context, name contractor.Account, tokens contractor.Tokens) contractor.Tokens {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -22,17 +24,19 @@
 	if s == nil || tokens <= 0 || !a.rounds.joined {
 		return 0
 	}
-	if s.free(a.stage()) < tokens {
-		a.await(ctx, s, tokens, func() contractor.Tokens { return s.granted - s.spent - s.reserved - s.needed })
+	held := func() contractor.Tokens { return s.granted - s.spent - s.reserved - s.needed }
+	if want := min(tokens, held()); want > s.free(a.stage()) {
+		a.await(ctx, s, want, held)
 	}
-	if s.free(a.stage()) < tokens {
+	lent := min(tokens, s.free(a.stage()))
+	if lent < min(tokens, leastLoan) {
 		return 0
 	}
-	s.spent += tokens
+	s.spent += lent
 	if a.stage() == stageOpen && s.free(stageOpen) < tokens {
 		signal(a.opening)
 	}
-	return tokens
+	return lent
 }
 
 // Credit adds tokens that another daemon has counted as spent. They can be spent here in
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -42,7 +42,7 @@
 	// is about 10 ms, and the lender may need a round with the store of about 20 ms.
 	answerTime = 60 * time.Millisecond
 	// maxLenders is how many daemons a request asks, one after another.
-	maxLenders = 3
+	maxLenders = 4
 	// quietTime is how long nobody is asked after nobody has answered.
 	quietTime = 500 * time.Millisecond
 	// repeats is how often a question is sent again, after answerTime at first and twice
@@ -61,7 +61,7 @@
 
 // Book is the daemon's own share of the balances.
 type Book interface {
-	// Lend counts tokens as spent and returns how many it gives, all or none.
+	// Lend counts some of the tokens as spent, all at best, and returns how many.
 	Lend(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens
 	// Credit adds tokens that another daemon has counted as spent.
 	Credit(account contractor.Account, tokens contractor.Tokens)
@@ -139,26 +139,27 @@
 	return l
 }
 
-// Borrow asks other daemons for tokens until one has lent them, and credits them to the
-// book. It returns what was lent within the time that a request can wait; a later answer
+// Borrow asks other daemons for tokens until they have lent them all together, and
+// credits them to the book. It returns what was lent within the time that a request can wait; a later answer
 // is credited too.
 func (l *Lender) Borrow(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens {
 	if l.quiet() {
 		return 0
 	}
-	heard := false
+	heard, got := false, contractor.Tokens(0)
 	peers := l.config.Peers(account)
 	for _, peer := range peers[:min(len(peers), maxLenders)] {
-		lent, answered := l.borrowFrom(ctx, peer, account, tokens)
-		if lent > 0 || ctx.Err() != nil {
-			return lent
+		lent, answered := l.borrowFrom(ctx, peer, account, tokens-got)
+		got += lent
+		if got >= tokens || ctx.Err() != nil {
+			return got
 		}
 		heard = heard || answered
 	}
 	if !heard && len(peers) > 0 {
 		l.noteSilence()
 	}
-	return 0
+	return got
 }
 
 // borrowFrom asks one daemon and waits for its answer for a while.
