--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -159,7 +159,9 @@
 	if x.account == nil || !x.service.Engine || most <= 0 {
 		return nil
 	}
+	asked := time.Now()
 	reservation, err := x.forwarder.config.Budgets.Reserve(ctx, x.account.Name, most)
+	x.forwarder.reserving.Update(int64(time.Since(asked)))
 	var refusal *refuser.Refusal
 	if errors.As(err, &refusal) {
 		return refusal
@@ -179,6 +181,7 @@
 		return
 	}
 	x.begun = true
+	x.forwarder.answering.Update(int64(time.Since(x.request.Arrived)))
 	x.reservation.Spend(x.request.Prompt)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,6 +21,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"laburnumline/apportioner"
 	"laburnumline/connector"
 	"laburnumline/contractor"
@@ -136,10 +138,21 @@
 // Forwarder carries requests. It is safe for concurrent use.
 type Forwarder struct {
 	config Config
+	// reserving is how long requests wait for tokens, answering until the first part of
+	// an answer goes to the caller, serving until it is whole; all in nanoseconds since
+	// the request arrived, but for the first.
+	reserving, answering, serving metrics.Histogram
 }
 
 // New returns a forwarder.
-func New(c Config) *Forwarder { return &Forwarder{config: c} }
+func New(c Config) *Forwarder {
+	return &Forwarder{
+		config:    c,
+		reserving: c.Recorder.Histogram("request.reserving"),
+		answering: c.Recorder.Histogram("request.answering"),
+		serving:   c.Recorder.Histogram("request.serving"),
+	}
+}
 
 // Serve carries one request and writes its end to w. It panics with
 // http.ErrAbortHandler when an answer breaks off after a part was written.
@@ -162,7 +175,9 @@
 	}
 	if refusal := x.run(ctx); refusal != nil {
 		x.refuse(refusal)
+		return
 	}
+	f.serving.Update(int64(time.Since(r.Arrived)))
 }
 
 // refused counts and logs a refusal.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -20,6 +20,7 @@
 	"laburnumline/director"
 	"laburnumline/placer"
 	"laburnumline/quarantiner"
+	"laburnumline/recorder"
 	"laburnumline/refuser"
 	"laburnumline/registrar"
 	"laburnumline/retrier"
@@ -47,6 +48,7 @@
 	list    []registrar.Upstream
 	suspect *quarantiner.Quarantiner
 	dead    bool // upstreams take no connections
+	rec     *recorder.Recorder
 }
 
 func (s *script) Send(ctx context.Context, address netip.AddrPort, call *connector.Call) (*connector.Answer, error) {
@@ -127,7 +129,7 @@
 
 func (s *script) forwarder() *Forwarder {
 	return New(Config{
-		Tables: s, Upstreams: s, Budgets: s, Placer: placer.New(placer.Config{}), Sender: s,
+		Tables: s, Upstreams: s, Budgets: s, Placer: placer.New(placer.Config{}), Sender: s, Recorder: s.rec,
 		Retries: retrier.New(retrier.Config{TargetRatio: 10, AccountRatio: 10, Burst: 10}), Random: func() float64 { return 0 }, Suspects: s.suspect,
 		Probe: func(context.Context, netip.AddrPort) error {
 			if s.dead {
@@ -350,3 +352,22 @@
 		require.True(t, s.suspect.Empty())
 	})
 }
+
+// Operators see how long requests wait, until the first part of their answer and until
+// they are served.
+func TestTimesOfRequestsAreRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScript(t, reply{status: 200, body: "ok"})
+		s.rec = recorder.New()
+		require.Equal(t, http.StatusOK, s.serve(t.Context(), "/once/", "x").Code)
+		s.refusal = refuser.New(refuser.BudgetUnreachable, "reserve")
+		require.Equal(t, http.StatusServiceUnavailable, s.serve(t.Context(), "/once/", "x").Code)
+		counts := make(map[string]float64)
+		for _, sample := range s.rec.Samples() {
+			counts[sample.Name] = sample.Value
+		}
+		require.Equal(t, 2.0, counts["request.reserving.count"])
+		require.Equal(t, 1.0, counts["request.answering.count"])
+		require.Equal(t, 1.0, counts["request.serving.count"])
+	})
+}
