--- /dev/null
+++ b/apportioner/restart_test.go
@@ -0,0 +1,148 @@
+package apportioner
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumline/emulator"
+	"laburnumline/refuser"
+)
+
+func TestNextRunGetsTheLockedPartBack(t *testing.T) {
+	tests := []struct {
+		name   string
+		down   time.Duration
+		faults emulator.StoreFaults
+		least  float64 // part of the shares that is not lost
+		most   float64
+	}{
+		{name: "killed for a second", down: time.Second, least: 0.8, most: 1},
+		{name: "without power for 3.5 s", down: 3500 * time.Millisecond, least: 0.5, most: 0.9},
+		{name: "gone for a minute", down: time.Minute, least: 0, most: 0.01},
+		{name: "leases paused for a minute", down: time.Minute, faults: emulator.StoreFaults{PauseLeases: true}, least: 0, most: 0.01},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(1, 1_000_000)
+				time.Sleep(10 * time.Second)
+				d := f.daemons[0]
+				before := d.held()
+				d.stop()
+				f.store.SetFaults(tt.faults)
+				time.Sleep(tt.down)
+				f.store.SetFaults(emulator.StoreFaults{})
+				f.launch(d)
+				defer f.stopAll()
+				time.Sleep(50 * time.Millisecond)
+				after := d.held()
+				kept := float64(after) / float64(before)
+				require.GreaterOrEqual(t, kept, tt.least)
+				require.LessOrEqual(t, kept, tt.most)
+			})
+		})
+	}
+}
+
+func TestPausedLeasesDoNotHideWhatWasSpent(t *testing.T) {
+	for _, down := range []time.Duration{3, 4, 5, 7, 11} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(1, 1_000_000)
+			time.Sleep(10 * time.Second)
+			d := f.daemons[0]
+			f.store.SetFaults(emulator.StoreFaults{Outage: true, PauseLeases: true})
+			for range down * 10 {
+				time.Sleep(100 * time.Millisecond)
+				f.drain(d, 1000)
+			}
+			d.stop()
+			f.store.SetFaults(emulator.StoreFaults{})
+			f.launch(d)
+			defer f.stopAll()
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				f.drain(d, 1000)
+			}
+			require.LessOrEqual(t, f.spent, f.prepaid, "%d s", down)
+		})
+	}
+}
+
+func TestTakeOverWhoseAnswerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(10 * time.Second)
+		d := f.daemons[0]
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			f.drain(d, 1000)
+		}
+		require.Greater(t, f.spent, f.prepaid/2)
+		d.stop()
+		f.store.LoseNextAnswers(1)
+		f.launch(d)
+		defer f.stopAll()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			f.drain(d, 1000)
+		}
+		require.LessOrEqual(t, f.spent, f.prepaid)
+	})
+}
+
+func TestTakeOverWhileAnswersAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(10 * time.Second)
+		d := f.daemons[0]
+		before := d.held()
+		d.stop()
+		time.Sleep(time.Second)
+		f.store.SetFaults(emulator.StoreFaults{LoseRequests: 1})
+		f.launch(d)
+		defer f.stopAll()
+		time.Sleep(12 * time.Second)
+		require.False(t, d.Joined())
+		f.store.SetFaults(emulator.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		require.True(t, d.Joined())
+		require.Greater(t, float64(d.held()), 0.8*float64(before))
+	})
+}
+
+func TestReplacedRunStopsSpending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(10 * time.Second)
+		d := f.daemons[0]
+		first, stop := d.Apportioner, d.stop
+		defer stop()
+		f.launch(d)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		require.Zero(t, heldBy(first))
+		require.Positive(t, d.held())
+		_, err := first.Reserve(t.Context(), testAccount, 1)
+		require.Equal(t, refuser.BudgetUnreachable, reasonOf(t, err))
+	})
+}
+
+func TestLockIsWrittenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(5 * time.Second)
+		d := f.daemons[0]
+		d.stop()
+		time.Sleep(time.Second)
+		for range 3 {
+			time.Sleep(2 * time.Second)
+			require.NoError(t, d.lease(t.Context()))
+		}
+		p, err := d.propose()
+		require.NoError(t, err)
+		require.NoError(t, p.txn.Validate())
+	})
+}
--- /dev/null
+++ b/apportioner/share_test.go
@@ -0,0 +1,156 @@
+package apportioner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumline/contractor"
+	"laburnumline/refuser"
+)
+
+func TestNearlyAllIsDealtAndAllCanBeSpent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7, 10_000_000)
+		defer f.stopAll()
+		time.Sleep(10 * time.Second)
+		held := contractor.Tokens(0)
+		for _, d := range f.daemons {
+			held += d.held()
+		}
+		require.InDelta(t, 9_000_000, float64(held), 1_000_000)
+		for range 400 {
+			for _, d := range f.daemons {
+				f.drain(d, 3000)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.spent, f.prepaid)
+		require.Greater(t, float64(f.spent), 0.97*float64(f.prepaid))
+	})
+}
+
+func TestRefusalIsFinalOnlyWhenTheBalanceIsSpent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 100_000)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		err := f.use(f.daemons[0], 200_000, 0)
+		require.Equal(t, refuser.BudgetExhausted, reasonOf(t, err))
+		f.daemons[0].link.cut.Store(true)
+		time.Sleep(2 * time.Second)
+		err = f.use(f.daemons[0], 99_000, 0)
+		require.Equal(t, refuser.BudgetUnreachable, reasonOf(t, err))
+	})
+}
+
+func TestSharesOutlastACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, 9_000_000)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		for range 20 {
+			time.Sleep(time.Second)
+			for _, d := range f.daemons {
+				require.NoError(t, f.use(d, 10_000, 10_000))
+			}
+		}
+		for _, d := range f.daemons {
+			d.link.cut.Store(true)
+		}
+		refused := 0
+		for range 9 {
+			time.Sleep(time.Second)
+			for _, d := range f.daemons {
+				if f.use(d, 10_000, 10_000) != nil {
+					refused++
+				}
+			}
+		}
+		require.LessOrEqual(t, refused, 6, "of 27 requests, those before the next stage is unlocked")
+		require.LessOrEqual(t, f.spent, f.prepaid)
+	})
+}
+
+func TestAnExhaustedShareIsRefilledAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4, 1_000_000)
+		defer f.stopAll()
+		time.Sleep(10 * time.Second)
+		got := f.drain(f.daemons[0], 5000)
+		time.Sleep(3 * time.Second)
+		got += f.drain(f.daemons[0], 5000)
+		require.Greater(t, got, contractor.Tokens(300_000), "more than its quarter")
+	})
+}
+
+func TestLoweredBoundIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, 3_000_000)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		require.NoError(t, f.use(f.daemons[0], 100_000, 100_000))
+		f.prepaid = 200_000
+		for _, d := range f.daemons {
+			d.SetBounds(map[contractor.Account]contractor.Tokens{testAccount: f.prepaid})
+		}
+		time.Sleep(8 * time.Second)
+		for _, d := range f.daemons {
+			f.drain(d, 1000)
+		}
+		require.LessOrEqual(t, f.spent, f.prepaid)
+	})
+}
+
+func TestLeavingDaemonGivesItsShareBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1_000_000)
+		defer f.stopAll()
+		time.Sleep(10 * time.Second)
+		leaving := f.daemons[1]
+		leaving.stop()
+		time.Sleep(time.Second)
+		leaving.Leave(t.Context())
+		require.Zero(t, leaving.held())
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, f.daemons[0].Members())
+		require.Greater(t, f.daemons[0].held(), contractor.Tokens(850_000))
+	})
+}
+
+func TestNoBoundBeforeTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(5 * time.Second)
+		d := f.daemons[0]
+		d.stop()
+		time.Sleep(100 * time.Millisecond)
+		next := New(Config{Store: d.link, Name: d.name, Incarnation: 77})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go next.Run(ctx)
+		time.Sleep(5 * time.Second)
+		require.Greater(t, heldBy(next), contractor.Tokens(700_000), "kept until the bounds are known")
+	})
+}
+
+func TestSilentDaemonIsForgottenButKeepsItsGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 1_000_000)
+		defer f.stopAll()
+		time.Sleep(10 * time.Second)
+		gone := f.daemons[1]
+		gone.stop()
+		time.Sleep(memberTimeout + 10*time.Second)
+		require.Equal(t, 1, f.daemons[0].Members())
+		require.Positive(t, gone.held())
+		for range 50 {
+			f.drain(f.daemons[0], 1000)
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.spent+gone.held(), f.prepaid, "it may only be cut off")
+	})
+}
