--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -324,3 +325,26 @@
 	}
 	require.Len(t, pool.idle[p.address()], 1)
 }
+
+// A peer that falls silent cannot be played on loopback, so the test reads the options by
+// which the kernel ends such a connection.
+func TestDialedConnectionsEndWhenThePeerFallsSilent(t *testing.T) {
+	p := listen(t, func(int, net.Conn) {})
+	conn, err := Dialer(time.Second, 1500*time.Millisecond)(t.Context(), "tcp", p.address().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	option := func(level, name int) int {
+		value := 0
+		require.NoError(t, raw.Control(func(fd uintptr) {
+			value, err = syscall.GetsockoptInt(int(fd), level, name)
+		}))
+		require.NoError(t, err)
+		return value
+	}
+	require.Equal(t, 1500, option(syscall.IPPROTO_TCP, tcpUserTimeout), "unacknowledged bytes, in ms")
+	require.Equal(t, 1, option(syscall.SOL_SOCKET, syscall.SO_KEEPALIVE))
+	require.Equal(t, 2, option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT))
+	require.Equal(t, 1, option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL), "in s")
+}
