apportioner, launcher: a long request is what the daemon has seen; parts have files

Cause, found by reading: the open part covers 40,000 tokens whatever the requests are, so where all are short, a daemon that is killed would lose its whole share of small accounts. And whether a daemon holds a balance sorted all members for each account, too dear at 2,100 accounts and 400 daemons.

Change: after 50 requests the longest of them counts, at most 40,000 tokens; a daemon counts who comes before it in the rank.

TestLongRequestFollowsWhatIsSeen.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -95,6 +95,7 @@
 	}
 	s := a.account(name)
 	s.noteDemand(a.config.Now(), most)
+	a.requests, a.longest = a.requests+1, max(a.longest, most)
 	if s.free(a.stage()) < most {
 		a.obtain(ctx, name, s, most)
 	}
@@ -104,6 +105,14 @@
 	return a.reserve(s, most), nil
 }
 
+// longRequest is what a long request needs, as far as this daemon knows. The lock is held.
+func (a *Apportioner) longRequest() contractor.Tokens {
+	if a.requests < enoughRequests {
+		return longRequest
+	}
+	return min(a.longest, longRequest)
+}
+
 // obtain tries to get what a request lacks: from the locked part of the daemon's own
 // grant, which a round opens, else from another daemon, else from the pool.
 func (a *Apportioner) obtain(ctx context.Context, name contractor.Account, s *account, most contractor.Tokens) {
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -118,7 +118,10 @@
 	leastShare = 12_000
 	// longRequest is a long request in tokens, which each daemon can cover while a balance
 	// is ample. The users' longest kind takes 17,000 on average, its longest tenth 38,000.
-	longRequest = 40_000
+	// Once a daemon has seen enoughRequests, none of which was as long, the longest of
+	// them counts instead.
+	longRequest    = 40_000
+	enoughRequests = 50
 	// holderShare is the share of each holder of a balance that is too small for all, so
 	// that its open part covers a request.
 	holderShare = 5 * leastShare
@@ -193,6 +196,9 @@
 	// bounds is what each account has prepaid, from the configuration in force.
 	bounds map[contractor.Account]contractor.Tokens
 	rounds roundState
+	// requests is the number of requests so far, longest the most that one of them needed.
+	requests int
+	longest  contractor.Tokens
 	// served is closed and replaced after each round.
 	served chan struct{}
 }
--- a/apportioner/loan.go
+++ b/apportioner/loan.go
@@ -13,10 +13,12 @@
 	"laburnumline/contractor"
 )
 
-// leastLoan is the least part of a request that is worth a message, in tokens.
+// leastLoan is the least part of a request that is worth a message, in tokens: about a
+// short request.
 const leastLoan = 1000
 
-// Lend gives another daemon as many of the tokens as it can, and counts them as spent here. What an ended run has lent is thereby within what it may have spent.
+// Lend gives another daemon as many of the tokens as it can, and counts them as spent
+// here. So what an ended run has lent is within what it may have spent.
 func (a *Apportioner) Lend(ctx context.Context, name contractor.Account, tokens contractor.Tokens) contractor.Tokens {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -93,6 +95,25 @@
 	return names
 }
 
+// holds reports whether this daemon holds the balance of an account when it is too
+// small for all: fewer members come before it in the rank than there are holders. The
+// lock is held.
+func (a *Apportioner) holds(name contractor.Account, p *pool) bool {
+	count := holders(a.config.Dealt*float64(a.bounds[name]-p.sums(name).Spent), len(p.Members))
+	if count >= len(p.Members) {
+		return true
+	}
+	key := xxhash.Sum64String(string(name))
+	own, before := weight(key, a.config.Name), 0
+	for vm := range p.Members {
+		if weight(key, vm) > own {
+			before++
+		}
+	}
+	return before < count
+}
+
+// weight gives a daemon its place in a rank.
 func weight(key uint64, vm string) uint64 {
 	b := binary.LittleEndian.AppendUint64(nil, key)
 	return xxhash.Sum64(append(b, vm...))
--- a/apportioner/loan_test.go
+++ b/apportioner/loan_test.go
@@ -126,7 +126,7 @@
 		{held: 0, fullness: 1, open: 0},
 	}
 	for _, tt := range tests {
-		q := position{holding: holding{Granted: tt.held}, fullness: tt.fullness}
+		q := position{holding: holding{Granted: tt.held}, fullness: tt.fullness, long: longRequest}
 		require.Equal(t, tt.open, q.limits()[stageOpen], "%+v", tt)
 	}
 }
@@ -181,3 +181,20 @@
 		require.Equal(t, 5, f.daemons[0].Members())
 	})
 }
+
+// Where all requests are short, a daemon that is killed loses no more than some of them.
+func TestLongRequestFollowsWhatIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 10_000_000)
+		defer f.stopAll()
+		time.Sleep(10 * time.Second)
+		d := f.daemons[0]
+		require.Equal(t, contractor.Tokens(longRequest), d.longRequest())
+		for i := range enoughRequests {
+			require.NoError(t, f.use(d, contractor.Tokens(100+i), 100))
+		}
+		require.Equal(t, contractor.Tokens(100+enoughRequests-1), d.longRequest())
+		require.NoError(t, f.use(d, 2*longRequest, 100))
+		require.Equal(t, contractor.Tokens(longRequest), d.longRequest())
+	})
+}
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -123,7 +123,9 @@
 	locked time.Duration
 	// fullness is the part of the balance that is not spent.
 	fullness float64
-	members  int
+	// long is what a long request needs.
+	long    contractor.Tokens
+	members int
 	// holder is true for the daemons that hold a balance that is too small for all.
 	holder  bool
 	dealt   float64
@@ -157,14 +159,11 @@
 	return min(max(min(wanted, unallocated-kept), missing, 0), unallocated)
 }
 
-// limits returns up to where the daemon's row lets it spend in each stage. The open part
-// covers a long request while the balance is full, also of an account that the daemon
-// rarely serves: a part that no request fits into is of no use in a cut.
+// limits returns up to where the daemon's row lets it spend in each stage.
 func (q *position) limits() [len(stages)]contractor.Tokens {
 	var limits [len(stages)]contractor.Tokens
 	held := float64(q.Granted - q.Spent)
-	share := openShare + fullOpenShare*q.fullness*q.fullness
-	part := max(min(q.rate*q.locked.Seconds(), held*share), min(held, longRequest*q.fullness))
+	part := q.openPart(held)
 	for i, t := range stages {
 		part += max(demandExcess*q.rate*t.cover.Seconds(), held*t.share)
 		limits[i] = min(q.Granted, q.Spent+q.reserved+q.needed+contractor.Tokens(part))
@@ -172,11 +171,19 @@
 	return limits
 }
 
+// openPart is what can be spent without the store at once. It covers the demand of the
+// first stage, and a long request while the balance is full, also of an account that the
+// daemon rarely serves: a part that no request fits into is of no use in a cut.
+func (q *position) openPart(held float64) float64 {
+	demand := min(q.rate*q.locked.Seconds(), held*(openShare+fullOpenShare*q.fullness*q.fullness))
+	return max(demand, min(held, float64(q.long)*q.fullness))
+}
+
 // target is the share of what is left that the daemon holds in calm times.
 func (q *position) target(s sums) contractor.Tokens {
 	dealt := q.dealt * float64(max(q.prepaid-s.Spent, 0))
 	members := max(q.members, 1)
-	count, even := holders(dealt, members), evenOf(dealt, members)
+	count, even := holders(dealt, members), q.evenOf(dealt, members)
 	if s.Demand <= 0 {
 		even = 1
 	}
@@ -196,8 +203,8 @@
 
 // evenOf is the part of the dealt tokens that goes to all daemons alike, or to the
 // holders: as much as gives each a long request, within bounds.
-func evenOf(dealt float64, members int) float64 {
-	return min(max(longRequest*float64(members)/max(dealt, 1), evenPart), mostEven)
+func (q *position) evenOf(dealt float64, members int) float64 {
+	return min(max(float64(q.long)*float64(members)/max(dealt, 1), evenPart), mostEven)
 }
 
 // forget takes the demand of a daemon that has gone silent out of the sums. Its row
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -114,7 +113,7 @@
 			holding: next, reserved: s.reserved, needed: s.needed, rate: s.demandNow(now),
 			// An account that lost its bound has none here, and gives its share back.
 			prepaid: a.bounds[name], members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
-			fullness: a.fullness(name), locked: a.leaseTime(stageOpen),
+			fullness: a.fullness(name), locked: a.leaseTime(stageOpen), long: a.longRequest(),
 		}
 		q.holder = p.deals && a.holds(name, &p.pool)
 		if p.deals {
@@ -137,14 +136,6 @@
 	}
 }
 
-// holds reports whether this daemon holds the balance of an account when it is too
-// small for all.
-func (a *Apportioner) holds(name contractor.Account, p *pool) bool {
-	dealt := a.config.Dealt * float64(a.bounds[name]-p.sums(name).Spent)
-	count := holders(dealt, len(p.Members))
-	return count >= len(p.Members) || slices.Contains(rank(name, p.Members)[:count], a.config.Name)
-}
-
 // fullness is the part of an account's balance that is not spent, as far as is known.
 func (a *Apportioner) fullness(name contractor.Account) float64 {
 	prepaid := a.bounds[name]
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -265,41 +265,6 @@
 	return nil
 }
 
-// lend answers other daemons that lack tokens, until ctx ends.
-func (d *Daemon) lend(ctx context.Context) error {
-	address := d.config.Settings.Loans
-	if !address.IsValid() {
-		return nil
-	}
-	conn, err := lender.Listen(address)
-	if err != nil {
-		d.config.Recorder.Event(recorder.LoanFailed, "step", "listen", "err", err)
-		return err
-	}
-	l := lender.New(lender.Config{Conn: conn, Book: d.shares, Peers: d.lenders, Recorder: d.config.Recorder})
-	d.lender.Store(l)
-	l.Run(ctx)
-	return nil
-}
-
-// lenders returns where other daemons answer that may lend.
-func (d *Daemon) lenders(account contractor.Account) []netip.AddrPort {
-	addresses := d.shares.Lenders(account)
-	for i, a := range addresses {
-		addresses[i] = netip.AddrPortFrom(a.Addr(), d.config.Settings.Loans.Port())
-	}
-	return addresses
-}
-
-// borrow asks other daemons for tokens.
-func (d *Daemon) borrow(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens {
-	l := d.lender.Load()
-	if l == nil {
-		return 0
-	}
-	return l.Borrow(ctx, account, tokens)
-}
-
 // Revisions returns the newest changes of the configuration and of the upstreams.
 func (d *Daemon) Revisions() []contractor.Revision {
 	return []contractor.Revision{d.routes.Changed(), d.upstreams.Changed()}
@@ -317,19 +282,6 @@
 // Members returns the number of daemons of the fleet, as far as is known.
 func (d *Daemon) Members() int { return d.shares.Members() }
 
-const (
-	// collectPerMember and longestCollect are how long changes of upstreams are collected
-	// in a fleet of so many daemons. Each change answers the watches of all of them, and
-	// when a fleet starts, upstreams come one by one. A change must be known within 2 s.
-	collectPerMember = 11 * time.Millisecond
-	longestCollect   = 1000 * time.Millisecond
-)
-
-// collectTime is how long changes of upstreams are collected.
-func collectTime(members int) time.Duration {
-	return min(time.Duration(members)*collectPerMember, longestCollect)
-}
-
 // listen opens a listener.
 func listen(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
--- /dev/null
+++ b/launcher/loans.go
@@ -0,0 +1,45 @@
+package launcher
+
+import (
+	"context"
+	"net/netip"
+
+	"laburnumline/contractor"
+	"laburnumline/lender"
+	"laburnumline/recorder"
+)
+
+// lend answers other daemons that lack tokens, until ctx ends.
+func (d *Daemon) lend(ctx context.Context) error {
+	address := d.config.Settings.Loans
+	if !address.IsValid() {
+		return nil
+	}
+	conn, err := lender.Listen(address)
+	if err != nil {
+		d.config.Recorder.Event(recorder.LoanFailed, "step", "listen", "err", err)
+		return err
+	}
+	l := lender.New(lender.Config{Conn: conn, Book: d.shares, Peers: d.lenders, Recorder: d.config.Recorder})
+	d.lender.Store(l)
+	l.Run(ctx)
+	return nil
+}
+
+// lenders returns where other daemons answer that may lend.
+func (d *Daemon) lenders(account contractor.Account) []netip.AddrPort {
+	addresses := d.shares.Lenders(account)
+	for i, a := range addresses {
+		addresses[i] = netip.AddrPortFrom(a.Addr(), d.config.Settings.Loans.Port())
+	}
+	return addresses
+}
+
+// borrow asks other daemons for tokens.
+func (d *Daemon) borrow(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens {
+	l := d.lender.Load()
+	if l == nil {
+		return 0
+	}
+	return l.Borrow(ctx, account, tokens)
+}
