announcer: a notice too long for one datagram becomes several

Ruled out: lost or reordered datagrams (all 90 receivers failed at the same moment); daemons of different versions (one build).

Change: a notice that is too long is told in halves, each with a sequence of its own.

TestLongNoticesAreSplit.

Small fleets were not affected: 18 upstreams fit.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -36,10 +36,9 @@
 	perPeer = 10 * time.Millisecond
 	// maxNotice is the largest datagram in bytes, which fits into one packet.
 	maxNotice = 1400
-	// maxPlaced bounds the placements in a notice, so that it fits.
+	// maxPlaced and maxLoads bound what is told at once: about one datagram each.
 	maxPlaced = 48
-	// maxLoads bounds the loads in a notice, so that it fits.
-	maxLoads = 64
+	maxLoads  = 64
 )
 
 // Load is the work of one daemon at one upstream.
@@ -130,7 +129,7 @@
 const (
 	// repeats is how often a record is told.
 	repeats = 5
-	// maxSuspects bounds the records in a notice, so that it fits.
+	// maxSuspects bounds the records that are told at once: less than half a datagram.
 	maxSuspects = 4
 	// maxPending bounds the records that wait.
 	maxPending = 64
@@ -200,22 +199,53 @@
 	if len(peers) == 0 || len(loads)+len(placed)+len(suspects) == 0 {
 		return
 	}
-	a.sequence++
-	text, err := cbor.Marshal(Notice{
-		From: a.config.From, Sequence: a.sequence, Loads: loads, Placed: placed, Suspects: suspects,
-		Revisions: a.config.Changes.Revisions(),
+	texts, err := a.encode(Notice{
+		From: a.config.From, Loads: loads, Placed: placed, Suspects: suspects, Revisions: a.config.Changes.Revisions(),
 	})
 	if err != nil {
 		a.config.Recorder.Event(recorder.NoticeFailed, "step", "encode", "err", err)
 		return
 	}
-	for _, peer := range peers {
-		if _, err := a.conn.WriteToUDPAddrPort(text, peer); err != nil {
-			a.config.Recorder.Count("announcer.not_sent", 1)
+	for _, text := range texts {
+		for _, peer := range peers {
+			if _, err := a.conn.WriteToUDPAddrPort(text, peer); err != nil {
+				a.config.Recorder.Count("announcer.not_sent", 1)
+			}
 		}
 	}
 }
 
+// encode returns a notice as one datagram, or as several when it is too long for one.
+func (a *Announcer) encode(n Notice) ([][]byte, error) {
+	a.sequence++
+	n.Sequence = a.sequence
+	text, err := cbor.Marshal(n)
+	if err != nil {
+		return nil, err
+	}
+	if len(text) <= maxNotice {
+		return [][]byte{text}, nil
+	}
+	if len(n.Loads) <= 1 && len(n.Placed) <= 1 && len(n.Suspects) <= 1 {
+		return nil, fmt.Errorf("a notice of %d bytes cannot be split", len(text))
+	}
+	first, second := n, n
+	first.Loads, second.Loads = halves(n.Loads)
+	first.Placed, second.Placed = halves(n.Placed)
+	first.Suspects, second.Suspects = halves(n.Suspects)
+	texts, err := a.encode(first)
+	if err != nil {
+		return nil, err
+	}
+	more, err := a.encode(second)
+	return append(texts, more...), err
+}
+
+func halves[T any](list []T) (first, second []T) {
+	middle := len(list) / 2
+	return list[:middle], list[middle:]
+}
+
 // receive reads notices until the socket is closed.
 func (a *Announcer) receive() {
 	buffer := make([]byte, maxNotice)
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"laburnumline/contractor"
@@ -114,3 +116,48 @@
 	}
 	require.Empty(t, a.suspects())
 }
+
+// Whatever a daemon has to tell arrives whole: a datagram that is longer than what is read
+// of it would be lost, with all the loads in it.
+func TestLongNoticesAreSplit(t *testing.T) {
+	a := &Announcer{config: Config{From: 1 << 31}, sequence: 1 << 40}
+	all := Notice{From: 1 << 31, Revisions: []contractor.Revision{1 << 50, 1 << 50}}
+	for i := range maxLoads {
+		all.Loads = append(all.Loads, Load{Upstream: 1<<31 + uint32(i), Reading: 70_000, InFlight: 500})
+	}
+	for i := range maxPlaced {
+		all.Placed = append(all.Placed, Placement{Upstream: 1<<31 + uint32(i), Part: 1<<63 + uint64(i)})
+	}
+	for i := range maxSuspects {
+		all.Suspects = append(all.Suspects, quarantiner.Record{
+			Digest: quarantiner.Digest{byte(i), 255}, Victims: []string{"i-0123456789abcdef", "i-1123456789abcdef", "i-2123456789abcdef"},
+			Version: 1 << 40, Seen: 1 << 40,
+		})
+	}
+	texts, err := a.encode(all)
+	require.NoError(t, err)
+	require.Greater(t, len(texts), 1)
+	var got Notice
+	sequence := uint64(0)
+	for _, text := range texts {
+		require.LessOrEqual(t, len(text), maxNotice)
+		var n Notice
+		require.NoError(t, cbor.Unmarshal(text, &n))
+		require.Greater(t, n.Sequence, sequence)
+		sequence = n.Sequence
+		require.Equal(t, all.Revisions, n.Revisions)
+		got.Loads = append(got.Loads, n.Loads...)
+		got.Placed = append(got.Placed, n.Placed...)
+		got.Suspects = append(got.Suspects, n.Suspects...)
+	}
+	require.Equal(t, all.Loads, got.Loads)
+	require.Equal(t, all.Placed, got.Placed)
+	require.Equal(t, all.Suspects, got.Suspects)
+
+	_, err = a.encode(Notice{Suspects: []quarantiner.Record{{Victims: []string{strings.Repeat("x", maxNotice)}}}})
+	require.Error(t, err)
+	one := Notice{Loads: all.Loads[:3]}
+	texts, err = a.encode(one)
+	require.NoError(t, err)
+	require.Len(t, texts, 1)
+}
