--- a/treasurer/fleet_test.go
+++ b/treasurer/fleet_test.go
@@ -49,6 +49,16 @@
 	stale bool
 }
 
+// playFleet runs a test with a fleet of its own in simulated time, and stops the daemons.
+func playFleet(t *testing.T, prepaid contractor.Tokens, tune func(*Config), test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, prepaid, tune)
+		defer f.stop()
+		test(t, f)
+	})
+}
+
 func newFleet(t *testing.T, prepaid contractor.Tokens, tune func(*Config)) *fleet {
 	f := &fleet{
 		t:       t,
@@ -243,9 +253,7 @@
 }
 
 func TestRequestIsBilledWithItsActualUse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, nil)
-		defer f.stop()
+	playFleet(t, 1000, nil, func(t *testing.T, f *fleet) {
 		a := f.start("vm-a", "z1", 1)
 		f.start("vm-b", "z1", 1)
 		f.start("vm-c", "z2", 1)
--- a/treasurer/takeover_test.go
+++ b/treasurer/takeover_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -36,9 +35,7 @@
 }
 
 func TestKeeperDiesBetweenSettlementAndFlush(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, slowFlush)
-		defer f.stop()
+	playFleet(t, 1000, slowFlush, func(t *testing.T, f *fleet) {
 		keeper, entry := threeDaemons(f)
 		done, err := entry.Reserve(t.Context(), request("order-1", 300))
 		require.NoError(t, err)
@@ -63,9 +60,7 @@
 }
 
 func TestKeepersOwnReservationsSurviveItsDeath(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, slowFlush)
-		defer f.stop()
+	playFleet(t, 1000, slowFlush, func(t *testing.T, f *fleet) {
 		keeper, entry := threeDaemons(f)
 		keeper.spend(t, "order-1", 300, 120)
 		_, err := keeper.Reserve(t.Context(), request("order-2", 300))
@@ -81,9 +76,7 @@
 }
 
 func TestPausedKeeperWakesAndCannotSpend(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, nil)
-		defer f.stop()
+	playFleet(t, 1000, nil, func(t *testing.T, f *fleet) {
 		keeper, entry := threeDaemons(f)
 		given, err := entry.Reserve(t.Context(), request("order-0", 100))
 		require.NoError(t, err)
@@ -108,9 +101,7 @@
 }
 
 func TestEntryRefusesReservationsOfReplacedKeeper(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, nil)
-		defer f.stop()
+	playFleet(t, 1000, nil, func(t *testing.T, f *fleet) {
 		keeper, entry := threeDaemons(f)
 		r, err := entry.Reserve(t.Context(), request("order-1", 100))
 		require.NoError(t, err)
@@ -124,9 +115,7 @@
 }
 
 func TestTwoLostDaemonsLeaveTheRestUnaccounted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, nil)
-		defer f.stop()
+	playFleet(t, 1000, nil, func(t *testing.T, f *fleet) {
 		keeper, entry := threeDaemons(f)
 		entry.spend(t, "order-1", 300, 100)
 		time.Sleep(5 * time.Second)
@@ -155,9 +144,7 @@
 }
 
 func TestDrainHandsOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, slowFlush)
-		defer f.stop()
+	playFleet(t, 1000, slowFlush, func(t *testing.T, f *fleet) {
 		keeper, entry := threeDaemons(f)
 		keeper.spend(t, "order-1", 300, 120)
 		open, err := entry.Reserve(t.Context(), request("order-2", 200))
@@ -176,9 +163,7 @@
 }
 
 func TestWitnessThatStopsHandsItsRecordsOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, slowFlush)
-		defer f.stop()
+	playFleet(t, 1000, slowFlush, func(t *testing.T, f *fleet) {
 		keeper, _ := threeDaemons(f)
 		_, err := keeper.Reserve(t.Context(), request("order-1", 900))
 		require.NoError(t, err)
@@ -197,9 +182,7 @@
 }
 
 func TestStoreAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 10_000, nil)
-		defer f.stop()
+	playFleet(t, 10_000, nil, func(t *testing.T, f *fleet) {
 		_, entry := threeDaemons(f)
 		other := f.start("vm-d", "z2", 1)
 		for i := range 20 {
@@ -229,9 +212,7 @@
 }
 
 func TestPartitionWithTopUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, nil)
-		defer f.stop()
+	playFleet(t, 1000, nil, func(t *testing.T, f *fleet) {
 		a := f.start("vm-a", "z1", 1)
 		b := f.start("vm-b", "z2", 1)
 		a.spend(t, "a-1", 400, 400)
@@ -261,9 +242,7 @@
 }
 
 func TestSameKeyInTwoZonesIsBilledOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, nil)
-		defer f.stop()
+	playFleet(t, 1000, nil, func(t *testing.T, f *fleet) {
 		a := f.start("vm-a", "z1", 1)
 		b := f.start("vm-b", "z2", 1)
 		a.spend(t, "order-1", 200, 150)
@@ -275,9 +254,7 @@
 }
 
 func TestLostAnswerAfterFlush(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, nil)
-		defer f.stop()
+	playFleet(t, 1000, nil, func(t *testing.T, f *fleet) {
 		a := f.start("vm-a", "z1", 1)
 		f.start("vm-b", "z1", 1)
 		a.spend(t, "order-1", 200, 150)
@@ -291,9 +268,7 @@
 }
 
 func TestExhaustedBudgetIsRefusedAsExhausted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, nil)
-		defer f.stop()
+	playFleet(t, 1000, nil, func(t *testing.T, f *fleet) {
 		a := f.start("vm-a", "z1", 1)
 		b := f.start("vm-b", "z2", 1)
 		a.spend(t, "order-1", 600, 600)
@@ -307,9 +282,7 @@
 }
 
 func TestLonelyKeeperIsReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1000, slowFlush)
-		defer f.stop()
+	playFleet(t, 1000, slowFlush, func(t *testing.T, f *fleet) {
 		lonely := f.start("vm-a", "z1", 1)
 		far := f.start("vm-c", "z2", 1)
 		done, err := lonely.Reserve(t.Context(), request("order-1", 200))
