apportioner: what covers a long request falls with the square of what is left

Change: the part that covers a long request falls with the square of what is left, as the rest of the open part does.

--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -176,7 +176,7 @@
 // daemon rarely serves: a part that no request fits into is of no use in a cut.
 func (q *position) openPart(held float64) float64 {
 	demand := min(q.rate*q.locked.Seconds(), held*(openShare+fullOpenShare*q.fullness*q.fullness))
-	return max(demand, min(held, float64(q.long)*q.fullness))
+	return max(demand, min(held, float64(q.long)*q.fullness*q.fullness))
 }
 
 // target is the share of what is left that the daemon holds in calm times.
