--- a/apportioner/loan_test.go
+++ b/apportioner/loan_test.go
@@ -116,17 +116,20 @@
 // ample, whatever its demand was. The less is left, the less a killed daemon may lose.
 func TestOpenPartCoversALongRequest(t *testing.T) {
 	tests := []struct {
+		members  int
 		held     contractor.Tokens
 		fullness float64
 		open     contractor.Tokens
 	}{
-		{held: 100_000, fullness: 1, open: longRequest},
-		{held: 100_000, fullness: 0.5, open: longRequest / 4},
-		{held: 12_000, fullness: 1, open: 12_000},
-		{held: 0, fullness: 1, open: 0},
+		{members: 91, held: 100_000, fullness: 1, open: longRequest},
+		{members: 91, held: 100_000, fullness: 0.5, open: longRequest / 4},
+		{members: 91, held: 12_000, fullness: 1, open: 12_000},
+		{members: 91, held: 0, fullness: 1, open: 0},
+		{members: 7, held: 1_000_000, fullness: 1, open: longRequest},
+		{members: 7, held: 100_000, fullness: 1, open: 10_000},
 	}
 	for _, tt := range tests {
-		q := position{holding: holding{Granted: tt.held}, fullness: tt.fullness, long: longRequest}
+		q := position{holding: holding{Granted: tt.held}, members: tt.members, fullness: tt.fullness, long: longRequest}
 		require.Equal(t, tt.open, q.limits()[stageOpen], "%+v", tt)
 	}
 }
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -108,6 +108,10 @@
 	// mostEven is the most of the dealt tokens that goes to all daemons, or to the holders
 	// of a balance that is too small for all.
 	mostEven = 0.6
+	// longShare is the most of what a daemon of a small fleet holds that is open for a long
+	// request. Kills of all daemons twice a day must leave enough for a quarter of the
+	// requests at its end.
+	longShare = 0.1
 	// slack is by how much a share may differ from its target before it is changed,
 	// so that rounds end.
 	slack = 0.1
@@ -173,9 +177,14 @@
 
 // openPart is what can be spent without the store at once. It covers the demand of the
 // first stage, and a long request while the balance is full, also of an account that the
-// daemon rarely serves: a part that no request fits into is of no use in a cut.
+// daemon rarely serves: a part that no request fits into is of no use in a cut. In a
+// large fleet all that a daemon holds is about one request; in a small one it is many,
+// and a kill must not lose too much of them.
 func (q *position) openPart(held float64) float64 {
 	demand := min(q.rate*q.locked.Seconds(), held*(openShare+fullOpenShare*q.fullness*q.fullness))
+	if q.members <= smallFleet {
+		held *= longShare
+	}
 	return max(demand, min(held, float64(q.long)*q.fullness*q.fullness))
 }
 
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -112,7 +112,7 @@
 		q := position{
 			holding: next, reserved: s.reserved, needed: s.needed, rate: s.demandNow(now),
 			// An account that lost its bound has none here, and gives its share back.
-			prepaid: a.bounds[name], members: len(p.pool.Members), dealt: a.config.Dealt, leaving: a.rounds.leaving,
+			prepaid: a.bounds[name], members: a.fleet(p), dealt: a.config.Dealt, leaving: a.rounds.leaving,
 			fullness: a.fullness(name), locked: a.leaseTime(stageOpen), long: a.longRequest(),
 		}
 		q.holder = p.deals && a.holds(name, &p.pool)
@@ -136,6 +136,15 @@
 	}
 }
 
+// fleet is the number of members as of the proposal, or of the pool that was last read
+// when it does not deal.
+func (a *Apportioner) fleet(p *proposal) int {
+	if p.deals {
+		return len(p.pool.Members)
+	}
+	return len(a.rounds.pool.Members)
+}
+
 // fullness is the part of an account's balance that is not spent, as far as is known.
 func (a *Apportioner) fullness(name contractor.Account) float64 {
 	prepaid := a.bounds[name]
