apportioner: in a small fleet nothing is open for a long request

Change: fleets of up to 28 have the open part and the even part of before.

Large fleets are not changed.

--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -108,10 +108,6 @@
 	// mostEven is the most of the dealt tokens that goes to all daemons, or to the holders
 	// of a balance that is too small for all.
 	mostEven = 0.6
-	// longShare is the most of what a daemon of a small fleet holds that is open for a long
-	// request. Kills of all daemons twice a day must leave enough for a quarter of the
-	// requests at its end.
-	longShare = 0.1
 	// slack is by how much a share may differ from its target before it is changed,
 	// so that rounds end.
 	slack = 0.1
@@ -175,15 +171,14 @@
 	return limits
 }
 
-// openPart is what can be spent without the store at once. It covers the demand of the
-// first stage, and a long request while the balance is full, also of an account that the
-// daemon rarely serves: a part that no request fits into is of no use in a cut. In a
-// large fleet all that a daemon holds is about one request; in a small one it is many,
-// and a kill must not lose too much of them.
+// openPart is what can be spent without the store at once: the demand of the first stage.
+// In a large fleet all that a daemon holds is about one request, and a part that no
+// request fits into is of no use in a cut; so there it covers a long request while the
+// balance is full. In a small fleet that would lose too much at kills.
 func (q *position) openPart(held float64) float64 {
 	demand := min(q.rate*q.locked.Seconds(), held*(openShare+fullOpenShare*q.fullness*q.fullness))
 	if q.members <= smallFleet {
-		held *= longShare
+		return demand
 	}
 	return max(demand, min(held, float64(q.long)*q.fullness*q.fullness))
 }
@@ -211,8 +206,11 @@
 }
 
 // evenOf is the part of the dealt tokens that goes to all daemons alike, or to the
-// holders: as much as gives each a long request, within bounds.
+// holders: in a large fleet as much as gives each a long request, within bounds.
 func (q *position) evenOf(dealt float64, members int) float64 {
+	if members <= smallFleet && holders(dealt, members) == members {
+		return evenPart
+	}
 	return min(max(float64(q.long)*float64(members)/max(dealt, 1), evenPart), mostEven)
 }
 
