apportioner, timekeeper: a run knows that the last one had ended when it started

Cause: the next run of a killed daemon looks which lock keys still exist when the store answers it. Ruled out: the time of day alone, which jumps; keys that live longer, which prove less. Change: rows carry when they were written by the clock since the VM's boot, and how long their run stays in each stage; the next run of the same boot compares that with its own start. Test first: 'killed, then a store that is away' fails without the change.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -23,7 +23,8 @@
 // So the next run of the daemon knows from the keys that it still finds how much may
 // have been spent; without any, that is all that was granted. Leases may pause while
 // the store is down; therefore a key counts only until the time of day at which its
-// stage ends.
+// stage ends. When both runs belong to one boot of the VM, its steady clock tells more:
+// the last run had ended when this one started, in whatever stage it was by then.
 //
 // An Apportioner is the shares of one daemon; its rounds are run by Run.
 //
@@ -47,6 +48,7 @@
 	"laburnumline/contractor"
 	"laburnumline/persister"
 	"laburnumline/recorder"
+	"laburnumline/timekeeper"
 )
 
 // Keys of the store.
@@ -177,6 +179,9 @@
 	// Borrow asks other daemons for tokens, which it credits. Nil means that nobody lends.
 	Borrow   func(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens
 	Recorder *recorder.Recorder
+	// Clock reads the clock that the runs of this VM share, first when the apportioner is
+	// made: by then the last run must have ended. Nil means that there is none.
+	Clock func() (timekeeper.Moment, error)
 	// Now returns the time. Nil means time.Now.
 	Now func() time.Time
 }
@@ -188,6 +193,8 @@
 type Apportioner struct {
 	config Config
 	start  time.Time
+	// started is when this run started, or the zero value.
+	started timekeeper.Moment
 	// kicked asks for a round at once, opening for one soon.
 	kicked, opening chan struct{}
 
@@ -246,7 +253,7 @@
 	if c.Dealt <= 0 {
 		c.Dealt = defaultDealt
 	}
-	return &Apportioner{
+	a := &Apportioner{
 		config:   c,
 		start:    c.Now(),
 		kicked:   make(chan struct{}, 1),
@@ -255,6 +262,21 @@
 		served:   make(chan struct{}),
 		rounds:   roundState{members: make(map[string]memberRound)},
 	}
+	a.started = a.moment()
+	return a
+}
+
+// moment reads the clock that the runs of this VM share. The zero value shows that it
+// cannot be read.
+func (a *Apportioner) moment() timekeeper.Moment {
+	if a.config.Clock == nil {
+		return timekeeper.Moment{}
+	}
+	m, err := a.config.Clock()
+	if err != nil {
+		a.config.Recorder.Event(recorder.ClockUnreadable, "err", err)
+	}
+	return m
 }
 
 // SetBounds replaces what the accounts have prepaid. Accounts that are left out
--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -16,6 +16,7 @@
 	"laburnumline/emulator"
 	"laburnumline/persister"
 	"laburnumline/refuser"
+	"laburnumline/timekeeper"
 )
 
 const testAccount = contractor.Account("loft-7")
@@ -76,6 +77,8 @@
 	*Apportioner
 	stop context.CancelFunc
 	run  uint64
+	// boots is how often the VM has been booted again.
+	boots int
 }
 
 // fleet is a store and daemons that deal one account's balance out.
@@ -87,6 +90,16 @@
 	dealt   float64
 	// loans decides who lends and which answers are lost or late. Nil means no loans.
 	loans *rand.Rand
+	began time.Time
+}
+
+// clock returns the clock of the boot in which the next run of d starts. Boots cannot be told
+// apart by their names, as in containers.
+func (f *fleet) clock(d *daemon) func() (timekeeper.Moment, error) {
+	start := time.Duration(d.boots*d.boots*7919%101) * time.Minute
+	return func() (timekeeper.Moment, error) {
+		return timekeeper.Moment{Boot: d.name, Since: start + time.Since(f.began), Wall: time.Now().UnixNano()}, nil
+	}
 }
 
 func newFleet(count int, prepaid contractor.Tokens) *fleet {
@@ -94,7 +107,7 @@
 }
 
 func newLendingFleet(count int, prepaid contractor.Tokens, loans *rand.Rand) *fleet {
-	f := &fleet{store: emulator.NewStore(emulator.StoreConfig{Seed: 1}), prepaid: prepaid, loans: loans}
+	f := &fleet{store: emulator.NewStore(emulator.StoreConfig{Seed: 1}), prepaid: prepaid, loans: loans, began: time.Now()}
 	for i := range count {
 		d := &daemon{name: fmt.Sprintf("edge-%d", i), link: &link{Store: f.store, own: fmt.Sprintf("edge-%d", i)}}
 		f.daemons = append(f.daemons, d)
@@ -107,7 +120,7 @@
 func (f *fleet) launch(d *daemon) {
 	d.run++
 	d.Apportioner = New(Config{
-		Store: d.link, Name: d.name, Dealt: f.dealt, Borrow: f.borrower(d),
+		Store: d.link, Name: d.name, Dealt: f.dealt, Borrow: f.borrower(d), Clock: f.clock(d),
 		Incarnation: contractor.Incarnation(d.run*1000 + uint64(len(d.name)+int(d.name[5]))),
 	})
 	d.SetBounds(map[contractor.Account]contractor.Tokens{testAccount: f.prepaid})
--- a/apportioner/lock.go
+++ b/apportioner/lock.go
@@ -10,6 +10,7 @@
 
 	"laburnumline/contractor"
 	"laburnumline/persister"
+	"laburnumline/timekeeper"
 )
 
 // lockKey is the key of a stage of one run.
@@ -17,6 +18,34 @@
 	return fmt.Sprintf("%s%s/%x/%s", lockPrefix, a.config.Name, uint64(run), stages[stage].name)
 }
 
+// stays returns how long this run stays in each stage at the least. A stage without a
+// lease yet lasts at least as long as one that begins now. The lock is held.
+func (a *Apportioner) stays(now time.Time) [len(stages)]time.Duration {
+	var stays [len(stages)]time.Duration
+	for i, s := range stages {
+		stays[i] = s.lease
+		if !a.rounds.leasedAt[i].IsZero() {
+			stays[i] = a.rounds.lockedUntil[i].Sub(now)
+		}
+	}
+	return stays
+}
+
+// lastStage returns the stage in which the run of a row was at the most when this run
+// started, by the clock that both share. It reports false when they share none.
+func (a *Apportioner) lastStage(old row) (int, bool) {
+	passed, ok := timekeeper.Between(old.Written, a.started)
+	if !ok {
+		return len(stages), false
+	}
+	for i, stay := range old.Stay {
+		if passed < stay {
+			return i, true
+		}
+	}
+	return len(stages), true
+}
+
 // findLocks looks, before this run has a row, in which stage an earlier run was at
 // the most when it ended. What was once seen holds: that run had ended before.
 func (a *Apportioner) findLocks(ctx context.Context) error {
@@ -25,9 +54,11 @@
 	if a.rounds.predecessor != old.Incarnation {
 		a.rounds.predecessor, a.rounds.before = old.Incarnation, len(stages)
 	}
+	last, known := a.lastStage(old)
+	a.rounds.before = min(a.rounds.before, last)
 	least := a.rounds.before
 	a.mu.Unlock()
-	if old.Incarnation == 0 || old.Incarnation == a.config.Incarnation {
+	if known || old.Incarnation == 0 || old.Incarnation == a.config.Incarnation {
 		return nil
 	}
 	for i := range least {
--- a/apportioner/overspend_test.go
+++ b/apportioner/overspend_test.go
@@ -88,6 +88,7 @@
 		case 4:
 			d.stop()
 			time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
+			d.boots += random.IntN(2)
 			f.launch(d)
 		case 5:
 			f.store.SetFaults(emulator.StoreFaults{LateCommits: 0.4, LateBy: 4 * time.Second, LoseAnswers: 0.2})
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"laburnumline/contractor"
+	"laburnumline/timekeeper"
 )
 
 // pool is the value that all daemons share: the sums of their rows.
@@ -36,6 +37,10 @@
 	// Unlocks is the time of day at which the leases of each stage have ended, in
 	// milliseconds since 1970.
 	Unlocks [len(stages)]int64 `cbor:"unlocks"`
+	// Written is when the run wrote this row, by the clock of its VM, and Stay how long from
+	// then on it stays in each stage at the least.
+	Written timekeeper.Moment          `cbor:"written"`
+	Stay    [len(stages)]time.Duration `cbor:"stay"`
 }
 
 // holding is one account in a row. Settled and Demand are as the pool counts them;
@@ -62,7 +67,8 @@
 }
 
 func (r *row) clone() row {
-	c := row{Incarnation: r.Incarnation, Accounts: maps.Clone(r.Accounts), Unlocks: r.Unlocks}
+	c := *r
+	c.Accounts = maps.Clone(r.Accounts)
 	if c.Accounts == nil {
 		c.Accounts = make(map[contractor.Account]holding)
 	}
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -24,7 +24,9 @@
 func (a *Apportioner) propose() (*proposal, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r, now := &a.rounds, a.config.Now()
+	// The moment is read first: what lies between the readings shortens what it promises.
+	moment, now := a.moment(), a.config.Now()
+	r := &a.rounds
 	p := &proposal{row: r.row.clone(), deals: a.dealDue(now)}
 	if r.row.Incarnation != a.config.Incarnation {
 		a.planTakeOver(p)
@@ -38,6 +40,7 @@
 	for i, until := range r.lockedUntil {
 		p.row.Unlocks[i] = until.UnixMilli()
 	}
+	p.row.Written, p.row.Stay = moment, a.stays(now)
 	p.txn.Puts = append(p.txn.Puts, r.locks...)
 	if err := p.encode(a.config.Name, r); err != nil {
 		return nil, err
--- a/apportioner/restart_test.go
+++ b/apportioner/restart_test.go
@@ -15,14 +15,22 @@
 	tests := []struct {
 		name   string
 		down   time.Duration
+		reboot bool
+		// away is how long the store is down from the start of the next run on.
+		away   time.Duration
 		faults emulator.StoreFaults
 		least  float64 // part of the shares that is not lost
 		most   float64
 	}{
 		{name: "killed for a second", down: time.Second, least: 0.8, most: 1},
-		{name: "without power for 3.5 s", down: 3500 * time.Millisecond, least: 0.5, most: 0.9},
+		{name: "killed for 3.5 s", down: 3500 * time.Millisecond, least: 0.5, most: 0.9},
+		{name: "killed, then a store that is away", down: time.Second, away: time.Minute, least: 0.8, most: 1},
+		{name: "without power for a second", down: time.Second, reboot: true, least: 0.8, most: 1},
+		{name: "without power for 3.5 s", down: 3500 * time.Millisecond, reboot: true, least: 0.5, most: 0.9},
+		{name: "without power, then a store that is away", down: time.Second, reboot: true, away: time.Minute, least: 0, most: 0.01},
 		{name: "gone for a minute", down: time.Minute, least: 0, most: 0.01},
 		{name: "leases paused for a minute", down: time.Minute, faults: emulator.StoreFaults{PauseLeases: true}, least: 0, most: 0.01},
+		{name: "leases paused for a minute without power", down: time.Minute, reboot: true, faults: emulator.StoreFaults{PauseLeases: true}, least: 0, most: 0.01},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -34,10 +42,15 @@
 				d.stop()
 				f.store.SetFaults(tt.faults)
 				time.Sleep(tt.down)
-				f.store.SetFaults(emulator.StoreFaults{})
+				f.store.SetFaults(emulator.StoreFaults{Outage: tt.away > 0})
+				if tt.reboot {
+					d.boots++
+				}
 				f.launch(d)
 				defer f.stopAll()
-				time.Sleep(50 * time.Millisecond)
+				time.Sleep(tt.away)
+				f.store.SetFaults(emulator.StoreFaults{})
+				time.Sleep(80 * time.Millisecond)
 				after := d.held()
 				kept := float64(after) / float64(before)
 				require.GreaterOrEqual(t, kept, tt.least)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -38,6 +38,7 @@
 	"laburnumline/recorder"
 	"laburnumline/registrar"
 	"laburnumline/retrier"
+	"laburnumline/timekeeper"
 )
 
 // Settings are the settings of one daemon.
@@ -146,6 +147,7 @@
 	d.run = contractor.Incarnation(rand.Uint64())
 	d.shares = apportioner.New(apportioner.Config{
 		Store: c.Adapter.Store, Name: s.Name, Address: s.Internal, Incarnation: d.run, Borrow: d.borrow, Recorder: rec,
+		Clock: timekeeper.Read,
 	})
 	d.placer = placer.New(placer.Config{Zone: s.Zone})
 	d.link = gauger.New(gauger.Config{BytesPerSecond: s.Link})
--- a/recorder/catalogue_budgets.go
+++ b/recorder/catalogue_budgets.go
@@ -18,6 +18,8 @@
 	LoanUnanswered Code = 1105
 	// LoanFailed is logged when a message about a loan cannot be written or read.
 	LoanFailed Code = 1106
+	// ClockUnreadable is logged when the clock that runs since the VM's boot cannot be read.
+	ClockUnreadable Code = 1107
 )
 
 var _ = declare(areaNames{
@@ -30,4 +32,5 @@
 	LoanTaken:         "loan_taken",
 	LoanUnanswered:    "loan_unanswered",
 	LoanFailed:        "loan_failed",
+	ClockUnreadable:   "clock_unreadable",
 })
