--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -68,7 +68,7 @@
 
 // Adapter is the platform as the product sees it.
 type Adapter struct {
-	Store               persister.Store
+	Store persister.Store
 	// MaxEntries is the most compares, puts and deletes of one transaction of the store.
 	MaxEntries          int
 	ConfigurationPrefix string
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -141,7 +141,7 @@
 // more, and hears what the key is now.
 func TestAnswerOfTheRelayThatIsLost(t *testing.T) {
 	var inner http.Handler
-	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	r := newRig(t, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
 		inner.ServeHTTP(httptest.NewRecorder(), q)
 		panic(http.ErrAbortHandler)
 	}))
@@ -200,7 +200,7 @@
 // to the store at once.
 func TestPollLeavesARelayThatFails(t *testing.T) {
 	polling := make(chan struct{})
-	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	r := newRig(t, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
 		_, _ = io.Copy(io.Discard, q.Body) // else the end of the connection is not seen
 		close(polling)
 		<-q.Context().Done()
