combiner: a conflict may leave out keys that do not exist

Then all that shared the call had to read row and pool again. Change: a key that the batch expects to be absent and that is left out is absent.

--- a/combiner/batch.go
+++ b/combiner/batch.go
@@ -111,3 +111,22 @@
 func (b *batch) differs(states []persister.Entry) bool {
 	return slices.ContainsFunc(states, func(e persister.Entry) bool { return e.Revision != b.compared[e.Key] })
 }
+
+// states returns the state of each key that the batch compares, from the answer of a store
+// that may leave out keys which do not exist, as the batch expects. It reports false when the
+// answer leaves out another one.
+func (b *batch) states(told []persister.Entry) ([]persister.Entry, bool) {
+	states := make([]persister.Entry, len(b.txn.Compares))
+	for i, compare := range b.txn.Compares {
+		at := slices.IndexFunc(told, func(e persister.Entry) bool { return e.Key == compare.Key })
+		switch {
+		case at >= 0:
+			states[i] = told[at]
+		case compare.Revision == 0:
+			states[i] = persister.Entry{Key: compare.Key}
+		default:
+			return nil, false
+		}
+	}
+	return states, true
+}
--- a/combiner/combiner.go
+++ b/combiner/combiner.go
@@ -272,9 +272,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var conflict *persister.ConflictError
-	if errors.As(err, &conflict) && len(conflict.Entries) == len(b.txn.Compares) {
-		c.learn(conflict.Entries)
-		return c.retry(b, conflict.Entries)
+	if errors.As(err, &conflict) {
+		if states, ok := b.states(conflict.Entries); ok {
+			c.learn(states)
+			return c.retry(b, states)
+		}
 	}
 	if errors.Is(err, persister.ErrInvalid) && len(b.members) > 1 {
 		return c.separate(b)
--- a/combiner/combiner_test.go
+++ b/combiner/combiner_test.go
@@ -98,6 +98,17 @@
 	})
 }
 
+func TestAnswerMayLeaveOutKeysThatDoNotExist(t *testing.T) {
+	b := newBatch(32)
+	b.add(&waiter{}, rebased{Txn: put("row/0", 0, "a")})
+	b.add(&waiter{}, rebased{Txn: put("row/1", 5, "b")})
+	states, ok := b.states([]persister.Entry{{Key: "row/1", Revision: 6}})
+	require.True(t, ok)
+	require.Equal(t, []persister.Entry{{Key: "row/0"}, {Key: "row/1", Revision: 6}}, states)
+	_, ok = b.states([]persister.Entry{{Key: "row/0", Revision: 6}})
+	require.False(t, ok)
+}
+
 func TestTransactionsOfOneKeyExcludeEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
