soaker: real daemons under random faults, with seeds

Cause: nothing of our own ran the real programs as processes under faults. Change: package soaker and 'laburnumline soak': daemons as processes on loopback addresses of their own, a proxy to the store for each, faults drawn from a seed; checked are prepaid totals, runs per request, refusals against runs, whole answers, and that every daemon serves again under the newest configuration.

--- /dev/null
+++ b/cmd/laburnumline/soak.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"laburnumline/soaker"
+)
+
+type soakCommand struct {
+	parsed
+	Seed    uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds   uint64        `long:"seeds" default:"1" description:"number of seeds, one after another"`
+	Daemons int           `long:"daemons" default:"5" description:"number of daemons; from 29 on they use relays"`
+	Time    time.Duration `long:"time" default:"20s" description:"how long faults come with each seed"`
+	Folder  string        `long:"folder" description:"where settings and logs of the seeds that fail are kept; the default is a new folder"`
+	Verbose bool          `long:"verbose" description:"write a line for each fault"`
+}
+
+var errSoak = errors.New("promises were broken")
+
+func (k *soakCommand) run(e *environment) error {
+	program, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find the program: %w", err)
+	}
+	folder := k.Folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "soak-"); err != nil {
+			return fmt.Errorf("make a folder: %w", err)
+		}
+	}
+	failed := false
+	for seed := k.Seed; seed < k.Seed+k.Seeds; seed++ {
+		broken, err := k.play(e, program, filepath.Join(folder, fmt.Sprint("seed-", seed)), seed)
+		if err != nil {
+			return err
+		}
+		failed = failed || broken
+	}
+	if failed {
+		return fmt.Errorf("%w; logs are in %s", errSoak, folder)
+	}
+	return nil
+}
+
+// play plays one seed and reports whether a promise was broken. Logs are kept only then.
+func (k *soakCommand) play(e *environment, program, folder string, seed uint64) (bool, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return false, fmt.Errorf("make a folder: %w", err)
+	}
+	c := soaker.Config{Program: program, Daemons: k.Daemons, Time: k.Time, Seed: seed, Folder: folder}
+	if k.Verbose {
+		c.Output = e.stdout
+	}
+	report, err := soaker.Run(e.ctx, c)
+	if err != nil {
+		return false, fmt.Errorf("seed %d: %w", seed, err)
+	}
+	fmt.Fprintln(e.stdout, report)
+	for _, b := range report.Broken {
+		fmt.Fprintln(e.stdout, "  "+b)
+	}
+	if len(report.Broken) > 0 {
+		return true, nil
+	}
+	return false, os.RemoveAll(folder)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -50,12 +50,11 @@
 	Zone string
 	// Front takes requests, Ready tells whether the daemon takes new connections.
 	Front, Ready netip.AddrPort
-	// Internal is the first address for the daemons' own calls.
-	Internal netip.AddrPort
-	// Loans is the address for loans between daemons, which has the same port on all.
-	// The zero value means that nobody lends.
-	Loans netip.AddrPort
-	Store netip.AddrPort
+	// Internal is the first address for the daemons' own calls, LastInternal the last port
+	// there. Ports are the same on all VMs.
+	Internal     netip.AddrPort
+	LastInternal uint16
+	Store        netip.AddrPort
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
 	// Link is the width of the VM's network link in bytes per second, or zero.
--- a/launcher/loans.go
+++ b/launcher/loans.go
@@ -9,9 +9,18 @@
 	"laburnumline/recorder"
 )
 
+// loans is the address for loans between daemons, which has the same port on all VMs: the
+// second internal one. The zero value means that nobody lends.
+func (s Settings) loans() netip.AddrPort {
+	if !s.Internal.IsValid() || s.LastInternal <= s.Internal.Port() {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(s.Internal.Addr(), s.Internal.Port()+1)
+}
+
 // lend answers other daemons that lack tokens, until ctx ends.
 func (d *Daemon) lend(ctx context.Context) error {
-	address := d.config.Settings.Loans
+	address := d.config.Settings.loans()
 	if !address.IsValid() {
 		return nil
 	}
@@ -30,7 +39,7 @@
 func (d *Daemon) lenders(account contractor.Account) []netip.AddrPort {
 	addresses := d.shares.Lenders(account)
 	for i, a := range addresses {
-		addresses[i] = netip.AddrPortFrom(a.Addr(), d.config.Settings.Loans.Port())
+		addresses[i] = netip.AddrPortFrom(a.Addr(), d.config.Settings.loans().Port())
 	}
 	return addresses
 }
--- /dev/null
+++ b/launcher/loans_test.go
@@ -0,0 +1,25 @@
+package launcher
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLoansHaveTheSecondInternalPort(t *testing.T) {
+	tests := []struct {
+		name     string
+		settings Settings
+		want     netip.AddrPort
+	}{
+		{name: "several ports", settings: Settings{Internal: netip.MustParseAddrPort("10.1.0.40:7340"), LastInternal: 7355}, want: netip.MustParseAddrPort("10.1.0.40:7341")},
+		{name: "one port", settings: Settings{Internal: netip.MustParseAddrPort("10.1.0.40:7340"), LastInternal: 7340}},
+		{name: "none"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.want, tt.settings.loans())
+		})
+	}
+}
--- /dev/null
+++ b/soaker/daemon.go
@@ -0,0 +1,108 @@
+package soaker
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"laburnumline/platform"
+)
+
+// daemon is one VM: a process that is started again when it ends, and its way to the store.
+type daemon struct {
+	name    string
+	program string
+	folder  string
+	front   string
+	proxy   *proxy
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	closed  bool
+	ended   sync.WaitGroup
+}
+
+// restartTime is how long the platform takes to start a process again.
+const restartTime = 300 * time.Millisecond
+
+// newDaemon writes the settings of a daemon. All have the same ports, on addresses of their own.
+func newDaemon(i int, c Config, folder, store string) (*daemon, error) {
+	p, err := newProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+c.Seed%64, 1+c.Seed/64%250, i+1)
+	d := &daemon{name: fmt.Sprint("edge-", i), program: c.Program, folder: folder, proxy: p, front: net.JoinHostPort(ip, "18000")}
+	settings := fmt.Sprintf(`nodeName = %q
+ipAddress = %q
+zone = "z"
+internalPorts = [18010, 18020]
+[bind]
+frontend = %q
+ready = %q
+[limits]
+memoryLimitMb = 256
+bandwidthMbps = 1000.0
+[ruleParams]
+graceS = 8
+retryRatio = 0.2
+[platform]
+address = %q
+`, d.name, ip, d.front, net.JoinHostPort(ip, "18001"), p.address)
+	return d, os.WriteFile(d.settings(), []byte(settings), 0o600)
+}
+
+func (d *daemon) settings() string { return filepath.Join(d.folder, "settings.toml") }
+
+// start starts the process, and again whenever it ends.
+func (d *daemon) start() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(d.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	process := exec.Command(d.program, "launch")
+	process.Env = append(os.Environ(), platform.SettingsVariable+"="+d.settings())
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", d.program, err)
+	}
+	d.process = process
+	d.ended.Go(func() {
+		_ = process.Wait() // however it ended, the next one starts
+		_ = log.Close()
+		time.Sleep(restartTime)
+		if err := d.start(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	})
+	return nil
+}
+
+// signal sends a signal to the process that runs now.
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.process != nil {
+		_ = d.process.Process.Signal(s) // one that has ended is started again anyway
+	}
+}
+
+// close ends the process for good.
+func (d *daemon) close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.signal(syscall.SIGKILL)
+	d.ended.Wait()
+	d.proxy.close()
+}
