--- a/administrator/contracts.go
+++ b/administrator/contracts.go
@@ -98,29 +98,8 @@
 }
 
 func (a *Administrator) listContracts(ctx context.Context, r *request) (reply, error) {
-	after, limit, err := r.page()
-	if err != nil {
-		return reply{}, err
-	}
-	if after != "" {
-		after = contractSection + "/" + after
-	}
-	page, err := a.config.Store.Range(ctx, contractSection+"/", after, limit)
-	if err != nil {
-		return reply{}, err
-	}
-	list := ContractPage{Contracts: make([]ContractState, 0, len(page.Entries))}
-	for _, found := range page.Entries {
-		state, err := contractState(found)
-		if err != nil {
-			return reply{}, err
-		}
-		list.Contracts = append(list.Contracts, state)
-		if page.More {
-			list.Next = strings.TrimPrefix(found.Key, contractSection+"/")
-		}
-	}
-	return reply{body: list}, nil
+	contracts, next, err := listSection(ctx, a.config.Store, r, contractSection, contractState)
+	return reply{body: ContractPage{Contracts: contracts, Next: next}}, err
 }
 
 func (a *Administrator) createContract(ctx context.Context, r *request) (reply, error) {
--- a/administrator/upstreams.go
+++ b/administrator/upstreams.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 
 	"laburnumline/contractor"
 	"laburnumline/persister"
@@ -61,29 +60,8 @@
 }
 
 func (a *Administrator) listUpstreams(ctx context.Context, r *request) (reply, error) {
-	after, limit, err := r.page()
-	if err != nil {
-		return reply{}, err
-	}
-	if after != "" {
-		after = upstreamSection + "/" + after
-	}
-	page, err := a.config.Store.Range(ctx, upstreamSection+"/", after, limit)
-	if err != nil {
-		return reply{}, err
-	}
-	list := UpstreamPage{Upstreams: make([]UpstreamState, 0, len(page.Entries))}
-	for _, found := range page.Entries {
-		state, err := upstreamState(found)
-		if err != nil {
-			return reply{}, err
-		}
-		list.Upstreams = append(list.Upstreams, state)
-		if page.More {
-			list.Next = strings.TrimPrefix(found.Key, upstreamSection+"/")
-		}
-	}
-	return reply{body: list}, nil
+	upstreams, next, err := listSection(ctx, a.config.Store, r, upstreamSection, upstreamState)
+	return reply{body: UpstreamPage{Upstreams: upstreams, Next: next}}, err
 }
 
 // upstreamChange is what an operator wants to do with an upstream. It returns
