combiner: a conflict does not tell a state that is older than the caller's

Cause: found by reading. When a change of the pool could not be merged, the combiner told its caller the last states that it knew, also of the caller's own row. A run that had taken its row over directly could hear of its predecessor's row, count as replaced, and spend nothing any more. Ruled out: the other way to a conflict, which has had this condition. Change: then the conflict has no states, and the daemon reads them. TestConflictDoesNotTellOlderStates fails without. The relay of the tests is set without a race now (-race showed it).

--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,21 +31,25 @@
 	// wrote the row of another daemon.
 	commits, conflicts, rows atomic.Int64
 	own                      string
-	// relay makes a part of the commits, as random says, or all. Nil means that it makes none.
-	relay  *combiner.Combiner
-	random *rand.Rand
-	always bool
+	// relay makes a part of the commits. Nil means that it makes none.
+	relay atomic.Pointer[relay]
+}
+
+// relay commits for daemons: as draw says, or always when that is nil.
+type relay struct {
+	*combiner.Combiner
+	draw func(n int) int
 }
 
 // CommitMerged commits through the relay, whose answer is sometimes lost, or directly.
 func (l *link) CommitMerged(ctx context.Context, txn persister.Txn) (contractor.Revision, []persister.Entry, error) {
-	if l.relay != nil && !l.cut.Load() {
+	if r := l.relay.Load(); r != nil && !l.cut.Load() {
 		way := 1
-		if !l.always {
-			way = l.random.IntN(10)
+		if r.draw != nil {
+			way = r.draw(10)
 		}
 		if way < 8 {
-			revision, merged, err := l.relay.Commit(ctx, txn)
+			revision, merged, err := r.Commit(ctx, txn)
 			if way > 0 && !errors.Is(err, persister.ErrUnknown) {
 				return revision, merged, err
 			}
@@ -141,11 +146,21 @@
 
 // relayed makes a relay that a part of the commits go through. The function ends it.
 func (f *fleet) relayed(random *rand.Rand) func() {
-	relay := combiner.New(combiner.Config{Store: f.store, MaxEntries: 32, Gather: 20 * time.Millisecond, Merger: Merger{}})
+	r := &relay{Combiner: combiner.New(combiner.Config{
+		Store: f.store, MaxEntries: 32, Gather: 20 * time.Millisecond, Merger: Merger{},
+	})}
+	if random != nil {
+		var mu sync.Mutex
+		r.draw = func(n int) int {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.IntN(n)
+		}
+	}
 	for _, d := range f.daemons {
-		d.link.relay, d.link.random = relay, random
+		d.link.relay.Store(r)
 	}
-	return relay.Close
+	return r.Close
 }
 
 // launch starts the next run of a daemon.
--- a/apportioner/merge_test.go
+++ b/apportioner/merge_test.go
@@ -74,7 +74,6 @@
 		time.Sleep(time.Second)
 		defer f.relayed(nil)()
 		for _, d := range f.daemons {
-			d.link.always = true
 			f.launch(d)
 		}
 		defer f.stopAll()
--- a/combiner/combiner.go
+++ b/combiner/combiner.go
@@ -206,11 +206,16 @@
 	return c.lateConflict(txn)
 }
 
-// lateConflict tells the states of the compared keys. The lock is held.
+// lateConflict tells the states of the compared keys, unless the caller knows one of them
+// better: it must not go back to an older one. The lock is held.
 func (c *Combiner) lateConflict(txn persister.Txn) error {
 	var entries []persister.Entry
 	for _, compare := range txn.Compares {
-		entries = append(entries, c.known[compare.Key])
+		known, ok := c.known[compare.Key]
+		if !ok || known.Revision < compare.Revision {
+			return persister.ErrConflict
+		}
+		entries = append(entries, known)
 	}
 	return &persister.ConflictError{Entries: entries}
 }
--- a/combiner/combiner_test.go
+++ b/combiner/combiner_test.go
@@ -178,6 +178,27 @@
 	})
 }
 
+// A caller that has written its own row directly must not hear of an older state of it.
+func TestConflictDoesNotTellOlderStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		sum, _, err := r.Commit(t.Context(), put("sum", 0, "10"))
+		require.NoError(t, err)
+		row, _, err := r.Commit(t.Context(), put("row/0", 0, "old"))
+		require.NoError(t, err)
+		row, err = r.store.Commit(t.Context(), put("row/0", row, "new"))
+		require.NoError(t, err)
+		_, _, err = r.Commit(t.Context(), put("sum", sum, "70"))
+		require.NoError(t, err)
+		txn := put("sum", sum, "60")
+		txn.Compares = append(txn.Compares, persister.Compare{Key: "row/0", Revision: row})
+		_, _, err = r.Commit(t.Context(), txn)
+		require.ErrorIs(t, err, persister.ErrConflict)
+		var conflict *persister.ConflictError
+		require.False(t, errors.As(err, &conflict), "%v", conflict)
+	})
+}
+
 func TestMergeGoesOnAfterSomebodyElseWrote(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
