--- a/soaker/daemon.go
+++ b/soaker/daemon.go
@@ -30,13 +30,30 @@
 // restartTime is how long the platform takes to start a process again.
 const restartTime = 300 * time.Millisecond
 
+// claimPort is the port that marks a block of addresses as in use by a run.
+const claimPort = "17999"
+
+// claim finds a block of loopback addresses that no other run uses, and keeps it until the
+// listener is closed. Runs on the same addresses would answer each other's callers.
+func claim() (block string, held net.Listener, err error) {
+	for a := 64; a < 127; a++ {
+		for b := 1; b < 250; b++ {
+			block = fmt.Sprintf("127.%d.%d", a, b)
+			if held, err = net.Listen("tcp", net.JoinHostPort(block+".1", claimPort)); err == nil {
+				return block, held, nil
+			}
+		}
+	}
+	return "", nil, fmt.Errorf("claim loopback addresses: %w", err)
+}
+
 // newDaemon writes the settings of a daemon. All have the same ports, on addresses of their own.
-func newDaemon(i int, c Config, folder, store string) (*daemon, error) {
+func newDaemon(i int, c Config, block, folder, store string) (*daemon, error) {
 	p, err := newProxy(store)
 	if err != nil {
 		return nil, err
 	}
-	ip := fmt.Sprintf("127.%d.%d.%d", 64+c.Seed%64, 1+c.Seed/64%250, i+1)
+	ip := fmt.Sprintf("%s.%d", block, i+1)
 	d := &daemon{name: fmt.Sprint("edge-", i), program: c.Program, folder: folder, proxy: p, front: net.JoinHostPort(ip, "18000")}
 	settings := fmt.Sprintf(`nodeName = %q
 ipAddress = %q
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -103,8 +103,13 @@
 		return nil, errors.Wrap(err, "set up the stand-ins")
 	}
 	defer s.site.close()
+	block, held, err := claim()
+	if err != nil {
+		return nil, err
+	}
+	defer held.Close() // after the daemons have ended
 	defer s.stopDaemons()
-	if err := s.startDaemons(); err != nil {
+	if err := s.startDaemons(block); err != nil {
 		return nil, err
 	}
 	if err := s.awaitCalm(ctx); err != nil {
@@ -131,13 +136,13 @@
 	s.calm()
 }
 
-func (s *soak) startDaemons() error {
+func (s *soak) startDaemons(block string) error {
 	for i := range s.config.Daemons {
 		folder := filepath.Join(s.config.Folder, fmt.Sprintf("daemon-%d", i))
 		if err := os.MkdirAll(folder, 0o755); err != nil {
 			return errors.Wrap(err, "make the folder of a daemon")
 		}
-		d, err := newDaemon(i, s.config, folder, s.site.address)
+		d, err := newDaemon(i, s.config, block, folder, s.site.address)
 		if err != nil {
 			return errors.Wrap(err, "set up a daemon")
 		}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -133,3 +133,13 @@
 	p.set(wayRefuse)
 	require.Error(t, echo(c))
 }
+
+func TestRunsHaveAddressesOfTheirOwn(t *testing.T) {
+	one, first, err := claim()
+	require.NoError(t, err)
+	defer first.Close()
+	other, second, err := claim()
+	require.NoError(t, err)
+	defer second.Close()
+	require.NotEqual(t, one, other)
+}
