--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -201,7 +201,7 @@
 // a rebalance, or while the account is nearly spent. Otherwise the pool may have changed,
 // and the whole prepaid balance counts as obtainable.
 func (a *Apportioner) obtainable(name contractor.Account, s *account) contractor.Tokens {
-	if a.config.Now().Sub(a.state.rebalancedAt) >= a.scaleToFleet(urgentRebalanceInterval) && !a.nearlySpent(name) {
+	if a.config.Now().Sub(a.state.rebalancedAt) >= a.urgentInterval() && !a.nearlySpent(name) {
 		return a.prepaid[name]
 	}
 	inPool := max(a.prepaid[name]-a.state.pool.sums(name).Granted, 0)
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -70,13 +70,19 @@
 	// rebalanceInterval is the time between two rounds that rebalance the shares. Half of a
 	// zone's demand can move to another daemon within a second, and partitions last up to 9 s.
 	rebalanceInterval = 2500 * time.Millisecond
-	// rebalanceIntervalPerMember limits the daemons together to one write of the pool in
-	// 60 ms. Overlapping transactions conflict; the store responds in 4 ms, so most writes
-	// do not overlap.
-	rebalanceIntervalPerMember = 60 * time.Millisecond
+	// rebalanceIntervalPerMember limits the daemons of a large fleet together to one change of
+	// the pool in 15 ms. The relay merges the changes of one batch, which takes about 1 ms of
+	// processor time for each.
+	rebalanceIntervalPerMember = 15 * time.Millisecond
+	// joinRebalanceInterval is the time between the first rebalancing rounds of a daemon, whose
+	// view of the members is still incomplete when a fleet starts.
+	joinRebalanceInterval = 2 * time.Second
+	joinRebalances        = 3
 	// urgentRebalanceInterval is the shortest time between two rounds that rebalance because
-	// a share is used up.
+	// a share is used up. mergedRebalanceInterval applies instead where a relay merges the
+	// changes of the pool, which then do not conflict.
 	urgentRebalanceInterval = 300 * time.Millisecond
+	mergedRebalanceInterval = 120 * time.Millisecond
 	// minRoundInterval is the shortest time between the starts of two rounds.
 	// unlockRoundInterval applies instead when the open part is nearly used up but no
 	// request waits yet.
@@ -89,10 +95,11 @@
 	// rebalanceBackoffPerMember, times the number of daemons, is the mean wait before a
 	// daemon rebalances again after repeated conflicts. A transaction takes 8 to 15 ms, and
 	// all daemons may try at once.
-	rebalanceBackoffPerMember = 12 * time.Millisecond
+	rebalanceBackoffPerMember = 24 * time.Millisecond
 	// maxReserveWait is how long a request waits for a round that brings tokens. A round
-	// takes two calls of 4 ms each; the latency objectives start at 500 ms.
-	maxReserveWait = 250 * time.Millisecond
+	// takes two calls of 4 ms each, or two batches of a relay; the latency objectives start at
+	// 500 ms.
+	maxReserveWait = 300 * time.Millisecond
 	// callTimeout limits one call to the store, which responds in 4 ms, or in up to 100
 	// times as long when it is slow.
 	callTimeout = 1200 * time.Millisecond
@@ -142,10 +149,15 @@
 	demandMargin = 1.5
 )
 
-// smallFleetSize is the number of daemons up to which the intervals apply unchanged. In a
-// larger fleet all of them grow in proportion, because the store's rates and prices do not
-// grow with the fleet.
-const smallFleetSize = 28
+const (
+	// smallFleetSize is the number of daemons up to which each calls the store itself. A larger
+	// fleet has a relay.
+	smallFleetSize = 28
+	// fullRateFleetSize is the number of daemons up to which the intervals apply unchanged. In a
+	// larger fleet they grow in proportion, so that the relay gets at most about as many rounds
+	// a second.
+	fullRateFleetSize = 300
+)
 
 // stages define how a grant is unlocked while the store is unavailable.
 var stages = [...]stage{
@@ -345,10 +357,24 @@
 	return s
 }
 
-// scaleToFleet lengthens an interval in proportion to the size of a large fleet. The lock is held.
+// scaleToFleet lengthens an interval in proportion to the size of a fleet that exceeds
+// fullRateFleetSize. The lock is held.
 func (a *Apportioner) scaleToFleet(d time.Duration) time.Duration {
-	members := max(len(a.state.pool.Members), smallFleetSize)
-	return d * time.Duration(members) / smallFleetSize
+	members := max(len(a.state.pool.Members), fullRateFleetSize)
+	return d * time.Duration(members) / fullRateFleetSize
+}
+
+// hasRelay reports whether the fleet is so large that a relay merges changes of the pool. The
+// lock is held.
+func (a *Apportioner) hasRelay() bool { return len(a.state.pool.Members) > smallFleetSize }
+
+// urgentInterval is the shortest time between two rounds that rebalance because a share is used
+// up. The lock is held.
+func (a *Apportioner) urgentInterval() time.Duration {
+	if a.hasRelay() {
+		return mergedRebalanceInterval
+	}
+	return urgentRebalanceInterval
 }
 
 // leaseTTL returns the TTL of a stage's lease. In a large fleet it is longer by as much as the
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -59,6 +59,15 @@
 
 func (p *pool) sums(name contractor.Account) sums { return p.Accounts[name] }
 
+// demand is the demand of all daemons for all accounts, in tokens per second.
+func (p *pool) demand() float64 {
+	sum := 0.0
+	for _, s := range p.Accounts {
+		sum += float64(s.Demand)
+	}
+	return sum
+}
+
 func (p *pool) clone() pool {
 	c := pool{Accounts: maps.Clone(p.Accounts), Members: maps.Clone(p.Members)}
 	if c.Accounts == nil {
@@ -118,6 +127,9 @@
 	// maxEvenFraction is the largest fraction of the allocated tokens that is divided evenly
 	// among all daemons, or among the holders of a balance that is too small for all.
 	maxEvenFraction = 0.6
+	// equalWeight is the fraction of the even part of a large fleet that is divided equally. The
+	// rest is divided by the demand of the daemons.
+	equalWeight = 0.25
 	// shareTolerance is by how much a share may differ from its target before it is changed.
 	// Without it, rounds would keep changing the shares.
 	shareTolerance = 0.1
@@ -139,7 +151,12 @@
 	// holder is true if the daemon gets an even part of the balance.
 	holder            bool
 	allocatedFraction float64
-	leaving           bool
+	// registering is true if this is the daemon's first round in a fleet that has no demand yet.
+	registering bool
+	leaving     bool
+	// daemonDemandRate is the daemon's demand for all accounts, and fleetDemandRate that of all
+	// daemons, in tokens per second.
+	daemonDemandRate, fleetDemandRate float64
 }
 
 // targetGrant returns the new value of Granted in the daemon's row. The sums already include
@@ -151,6 +168,9 @@
 		return q.Spent + min(held, q.reserved)
 	}
 	target := q.target(s)
+	if q.registering {
+		target = min(target, max(held, holderShareTokens))
+	}
 	want := max(target, required)
 	if held < want && (held < required || float64(want-held) > shareTolerance*float64(want)) {
 		return q.Granted + q.drawFromPool(s, want-held, required-held)
@@ -204,7 +224,7 @@
 	}
 	fraction := 0.0
 	if count == members || q.holder {
-		fraction = even / float64(count)
+		fraction = even * q.evenWeight(count, members)
 	}
 	if s.Demand > 0 {
 		fraction += (1 - even) * float64(q.Demand) / float64(s.Demand)
@@ -216,6 +236,18 @@
 	return target
 }
 
+// evenWeight is the daemon's weight in the part of a balance that is divided among count daemons,
+// whether or not they had requests of the account. In a large fleet a daemon gets so few requests
+// of one account that its demand for all accounts predicts them better: callers stay with a
+// daemon, and their number differs from daemon to daemon.
+func (q *accountPlan) evenWeight(count, members int) float64 {
+	equal := 1 / float64(count)
+	if members <= smallFleetSize || count < members || q.fleetDemandRate <= 0 {
+		return equal
+	}
+	return equalWeight*equal + (1-equalWeight)*min(q.daemonDemandRate/q.fleetDemandRate, 1)
+}
+
 // evenFractionOf is the fraction of the allocated tokens that is divided evenly among all
 // daemons or among the holders. In a large fleet it is large enough that each can cover a long
 // request, within the limits evenFraction and maxEvenFraction.
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -74,10 +74,10 @@
 	if state.leaving || state.rebalancedAt.IsZero() {
 		return true
 	}
-	if since >= max(rebalanceInterval, time.Duration(len(state.pool.Members))*rebalanceIntervalPerMember) {
+	if since >= a.rebalanceIntervalNow() {
 		return true
 	}
-	if since < a.scaleToFleet(urgentRebalanceInterval) {
+	if since < a.urgentInterval() {
 		return false
 	}
 	for _, s := range a.accounts {
@@ -88,6 +88,14 @@
 	return false
 }
 
+// rebalanceIntervalNow is the time between two periodic rounds that rebalance. The lock is held.
+func (a *Apportioner) rebalanceIntervalNow() time.Duration {
+	if a.state.roundNumber < joinRebalances {
+		return joinRebalanceInterval
+	}
+	return max(rebalanceInterval, time.Duration(len(a.state.pool.Members))*rebalanceIntervalPerMember)
+}
+
 // planMembership updates this daemon's entry among the pool's members.
 func (a *Apportioner) planMembership(p *proposal) {
 	state := &a.state
@@ -110,6 +118,10 @@
 // planAccounts plans each account: what was spent, the limits and, if the round rebalances,
 // the grant.
 func (a *Apportioner) planAccounts(p *proposal, now time.Time) {
+	demandRate, fleetDemand := a.demandRate(now), p.pool.demand()
+	// When a fleet starts, its daemons register one after another. One that took its whole share
+	// of the members seen so far would take those of the daemons that follow.
+	registering := a.state.rebalancedAt.IsZero() && fleetDemand == 0
 	for name, s := range a.accounts {
 		next := p.row.Accounts[name]
 		next.Spent = s.spent
@@ -117,6 +129,7 @@
 			holding: next, reserved: s.reserved, awaited: s.awaited, demandRate: s.currentDemand(now),
 			// Zero for an account that no longer has a limit, which returns its share.
 			prepaid: a.prepaid[name], members: a.plannedMemberCount(p), allocatedFraction: a.config.AllocatedFraction, leaving: a.state.leaving,
+			registering: registering, daemonDemandRate: demandRate, fleetDemandRate: fleetDemand,
 			unspentFraction: a.unspentFraction(name), openTime: a.leaseTTL(stageOpen), longRequest: a.longRequestCost(),
 		}
 		q.holder = p.rebalances && a.isHolder(name, &p.pool)
@@ -141,6 +154,16 @@
 	}
 }
 
+// demandRate is the demand of this daemon for all accounts, in tokens per second. The lock is
+// held.
+func (a *Apportioner) demandRate(now time.Time) float64 {
+	sum := 0.0
+	for _, s := range a.accounts {
+		sum += s.currentDemand(now)
+	}
+	return sum
+}
+
 // plannedMemberCount is the number of members in the proposal, or in the pool as last read if
 // the proposal does not rebalance.
 func (a *Apportioner) plannedMemberCount(p *proposal) int {
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -37,9 +37,9 @@
 // waits for tokens, or soon after an open part is nearly used up.
 func (a *Apportioner) waitForRound(ctx context.Context, started time.Time, interval time.Duration) {
 	a.mu.Lock()
-	minInterval, soonInterval := a.scaleToFleet(minRoundInterval), a.scaleToFleet(unlockRoundInterval)
+	soonInterval := a.scaleToFleet(unlockRoundInterval)
 	a.mu.Unlock()
-	if sleeper.Sleep(ctx, minInterval-a.config.Now().Sub(started)) != nil {
+	if sleeper.Sleep(ctx, minRoundInterval-a.config.Now().Sub(started)) != nil {
 		return
 	}
 	timer := time.NewTimer(interval)
--- a/combiner/batch.go
+++ b/combiner/batch.go
@@ -16,6 +16,8 @@
 	compared map[string]contractor.Revision
 	puts     map[string]int
 	deleted  map[string]bool
+	// full is true if transactions that did not fit remain in the queue.
+	full bool
 }
 
 func newBatch(maxOperations int) *batch {
--- a/combiner/combiner.go
+++ b/combiner/combiner.go
@@ -43,8 +43,12 @@
 	callTimeout = 700 * time.Millisecond
 	// maxStates limits the number of keys whose newest state is cached, a few kilobytes each.
 	maxStates = 2048
-	// maxHistory limits the number of cached states per key, which covers the last seconds.
+	// maxHistory limits the number of cached states per key.
 	maxHistory = 64
+	// maxMergeAge is how long after it was replaced a state can be the base of a merge. A daemon that
+	// planned from an older one would take tokens that other daemons have been granted since,
+	// so it gets the newest state and plans again.
+	maxMergeAge = 500 * time.Millisecond
 )
 
 // Merger merges values of keys that many callers change concurrently.
@@ -85,7 +89,7 @@
 	// newest holds the newest state seen of each key.
 	newest map[string]persister.Entry
 	// history holds the latest states of each key whose values can be merged, oldest first.
-	history map[string][]persister.Entry
+	history map[string][]pastState
 	leases  map[time.Duration]lease
 	feeds   map[string]*feed
 }
@@ -116,7 +120,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Combiner{
 		ctx: ctx, stop: stop, config: c, newest: make(map[string]persister.Entry),
-		history: make(map[string][]persister.Entry),
+		history: make(map[string][]pastState),
 		leases:  make(map[time.Duration]lease), feeds: make(map[string]*feed),
 	}
 }
@@ -130,6 +134,11 @@
 func (c *Combiner) Commit(ctx context.Context, txn persister.Txn) (contractor.Revision, []persister.Entry, error) {
 	pending := &pendingTxn{ctx: ctx, txn: txn, done: make(chan outcome, 1)}
 	c.mu.Lock()
+	if conflict := c.knownConflict(txn); conflict != nil {
+		c.mu.Unlock()
+		c.config.Recorder.Count("combiner.conflicts_known", 1)
+		return 0, nil, conflict
+	}
 	c.queue = append(c.queue, pending)
 	if !c.running {
 		c.running = true
@@ -155,8 +164,8 @@
 			return
 		}
 		delay = c.config.BatchDelay
-		if c.commitBatch(b) {
-			delay = 0 // transactions of this batch are to be tried again
+		if c.commitBatch(b) || b.full {
+			delay = 0 // transactions of this batch are to be tried again, or others wait already
 		}
 	}
 }
@@ -186,6 +195,7 @@
 		}
 	}
 	c.queue = remaining
+	b.full = len(remaining) > 0
 	if len(b.members) == 0 && len(remaining) == 0 {
 		c.running = false
 		return nil
@@ -226,13 +236,24 @@
 	return &persister.ConflictError{Entries: entries}
 }
 
+// pastState is a state of a key and the time at which it was recorded.
+type pastState struct {
+	persister.Entry
+	recordedAt time.Time
+}
+
 // mergeBase returns the state that a compare refers to, or nil if it is not in the history. The
 // lock is held.
 func (c *Combiner) mergeBase(compare persister.Compare) *persister.Entry {
-	for i, e := range c.history[compare.Key] {
-		if e.Revision == compare.Revision {
-			return &c.history[compare.Key][i]
+	history := c.history[compare.Key]
+	for i := range history {
+		if history[i].Revision != compare.Revision {
+			continue
+		}
+		if i+1 < len(history) && c.config.Now().Sub(history[i+1].recordedAt) > maxMergeAge {
+			return nil
 		}
+		return &history[i].Entry
 	}
 	return nil
 }
@@ -360,7 +381,7 @@
 		c.newest[e.Key] = e
 		if c.config.Merger != nil && c.config.Merger.CanMerge(e.Key) {
 			history := c.history[e.Key]
-			c.history[e.Key] = append(history[max(len(history)-maxHistory+1, 0):], e)
+			c.history[e.Key] = append(history[max(len(history)-maxHistory+1, 0):], pastState{e, c.config.Now()})
 		}
 	}
 }
