--- a/apportioner/stage.go
+++ b/apportioner/stage.go
@@ -82,10 +82,13 @@
 // late and prolong the life of its key. A new lease cannot, because its TTL starts before the
 // response.
 //
-// An incarnation takes over its row without leases and stays in the first stage until it has
-// them.
+// An incarnation takes over its row and rebalances without leases, and stays in the first stage
+// until it has them: only from then on does it know the relay, whose leases the daemons share.
 func (a *Apportioner) renewLeases(ctx context.Context) error {
-	if !a.Joined() {
+	a.mu.Lock()
+	rebalanced := !a.state.rebalancedAt.IsZero()
+	a.mu.Unlock()
+	if !rebalanced {
 		return nil
 	}
 	var calls errgroup.Group
--- a/messenger/quic_test.go
+++ b/messenger/quic_test.go
@@ -275,12 +275,13 @@
 // calls, and against reporting them as possibly executed.
 func TestCallsOverALimitAreNotExecuted(t *testing.T) {
 	f := newFleet(t)
-	release := make(chan struct{})
+	started, release := make(chan struct{}), make(chan struct{})
 	a := f.start("vm-a", func(c *QUICConfig) { c.MaxMessage = 100_000 })
 	b := f.start("vm-b", func(c *QUICConfig) {
 		c.MaxMessage = 10_000
 		c.MaxCalls = 1
 		Handle(c.Mux, methodWait, func(context.Context, Peer, *text) (*text, error) {
+			close(started)
 			<-release
 			return &text{}, nil
 		})
@@ -292,12 +293,14 @@
 	_, err := echo(a, b.Self(), strings.Repeat("x", 9_995))
 	require.ErrorContains(t, err, "answer is too large")
 
+	// The slot of a call is freed after its response has been sent.
+	require.Eventually(t, func() bool { return len(b.callSemaphore) == 0 }, 5*time.Second, time.Millisecond)
 	waiting := make(chan error, 1)
 	go func() {
 		_, err := Call[text, text](context.Background(), a, b.Self(), methodWait, &text{})
 		waiting <- err
 	}()
-	require.Eventually(t, func() bool { return len(b.callSemaphore) == 1 }, 5*time.Second, time.Millisecond)
+	<-started
 	_, err = echo(a, b.Self(), "hi")
 	require.ErrorIs(t, err, ErrBusy)
 	requireNotExecuted(t, err)
--- a/relayer/codec.go
+++ b/relayer/codec.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -22,6 +23,19 @@
 // rows to a third of their size, which matters on links of low bandwidth.
 const compressionThreshold = 1300
 
+// compressors holds idle compressors, each of which takes more than 600 KB. A relay sends some
+// hundred messages a second.
+var compressors sync.Pool
+
+// compressorFor returns a compressor that writes to b.
+func compressorFor(b *bytes.Buffer) (*flate.Writer, error) {
+	if w, ok := compressors.Get().(*flate.Writer); ok {
+		w.Reset(b)
+		return w, nil
+	}
+	return flate.NewWriter(b, flate.BestSpeed)
+}
+
 // encode returns v as a message.
 func encode(v any) ([]byte, error) {
 	payload, err := cbor.Marshal(v)
@@ -32,10 +46,11 @@
 		return append([]byte{formatPlain}, payload...), nil
 	}
 	b := bytes.NewBuffer([]byte{formatDeflate})
-	w, err := flate.NewWriter(b, flate.BestSpeed)
+	w, err := compressorFor(b)
 	if err != nil {
 		return nil, err
 	}
+	defer compressors.Put(w)
 	if _, err := w.Write(payload); err != nil {
 		return nil, err
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -77,6 +77,8 @@
 	backoffs map[netip.AddrPort]backoff
 	// sessions are cancelled when their relay fails, which ends the polls in flight there.
 	sessions map[netip.AddrPort]relaySession
+	// directFailing is true if the last call to the store itself failed.
+	directFailing bool
 }
 
 // relaySession is the period from the first poll at a relay to the relay's next failure.
@@ -147,6 +149,7 @@
 		}
 	}
 	revision, err := s.config.Direct.Commit(ctx, txn)
+	s.recordDirectResult(ctx, err)
 	return revision, nil, err
 }
 
@@ -167,7 +170,9 @@
 			return response.ID, err
 		}
 	}
-	return s.config.Direct.GrantLease(ctx, ttl)
+	id, err := s.config.Direct.GrantLease(ctx, ttl)
+	s.recordDirectResult(ctx, err)
+	return id, err
 }
 
 // Watch calls handle for each batch of changes under prefix after a revision. An empty batch
@@ -232,8 +237,9 @@
 		return errOneBatch
 	})
 	if errors.Is(err, errOneBatch) {
-		return got, nil
+		err = nil
 	}
+	s.recordDirectResult(ctx, err)
 	return got, err
 }
 
@@ -266,6 +272,23 @@
 	return session.ctx
 }
 
+// recordDirectResult records the result of a call to the store itself. The first success after a
+// failure ends all backoffs: this daemon had reached neither the store nor the relays, so the
+// relays were not at fault. Otherwise all daemons of a fleet would call the store themselves for
+// some seconds after a partition.
+func (s *Store) recordDirectResult(ctx context.Context, err error) {
+	failed := errors.Is(err, persister.ErrUnknown) || errors.Is(err, persister.ErrUnavailable)
+	if failed && errors.Is(ctx.Err(), context.Canceled) {
+		return // the caller has given up
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directFailing && !failed {
+		clear(s.backoffs)
+	}
+	s.directFailing = failed
+}
+
 // recordResult reports whether the result of a call to a relay is final. If not, it puts the
 // relay into backoff, and the caller repeats the call at the store.
 func (s *Store) recordResult(relay netip.AddrPort, err error) bool {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -135,6 +135,23 @@
 	require.Equal(t, f.relays[0], selected)
 }
 
+// Guards against calls of a whole fleet to the store after a partition of all daemons from the
+// store and from each other, while each skips the relay that it did not reach.
+func TestPartitionEndsBackoffs(t *testing.T) {
+	f := newFixture(t, nil)
+	f.relays = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
+	f.emulated.SetFaults(emulator.StoreFaults{Outage: true})
+	_, err := f.Commit(t.Context(), put("row/1", 0))
+	require.Error(t, err)
+	_, ok := f.selectRelay()
+	require.False(t, ok)
+	f.emulated.SetFaults(emulator.StoreFaults{})
+	_, err = f.Commit(t.Context(), put("row/1", 0))
+	require.NoError(t, err)
+	_, ok = f.selectRelay()
+	require.True(t, ok, "the store was unreachable as well, so the relay was not at fault")
+}
+
 // Guards against a backoff that grows without limit during a long outage, and against one that
 // outlasts the relay's next success.
 func TestBackoffDoublesUpToMaximum(t *testing.T) {
