--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -154,9 +154,9 @@
 	// fleet has a relay.
 	smallFleetSize = 28
 	// fullRateFleetSize is the number of daemons up to which the intervals apply unchanged. In a
-	// larger fleet they grow in proportion, so that the relay gets at most about as many rounds
-	// a second.
-	fullRateFleetSize = 300
+	// larger fleet they grow in proportion: the relay gets at most about as many periodic rounds
+	// a second, beside those for requests that wait.
+	fullRateFleetSize = 128
 )
 
 // stages define how a grant is unlocked while the store is unavailable.
--- a/relayer/codec.go
+++ b/relayer/codec.go
@@ -23,9 +23,9 @@
 // rows to a third of their size, which matters on links of low bandwidth.
 const compressionThreshold = 1300
 
-// compressors holds idle compressors, each of which takes more than 600 KB. A relay sends some
-// hundred messages a second.
-var compressors sync.Pool
+// compressors and decompressors hold idle ones. A compressor takes more than 600 KB, and a relay
+// sends some hundred messages a second.
+var compressors, decompressors sync.Pool
 
 // compressorFor returns a compressor that writes to b.
 func compressorFor(b *bytes.Buffer) (*flate.Writer, error) {
@@ -60,6 +60,18 @@
 	return b.Bytes(), nil
 }
 
+// decompress returns up to maxMessage bytes of the content.
+func decompress(compressed []byte) ([]byte, error) {
+	r, ok := decompressors.Get().(io.ReadCloser)
+	if !ok {
+		r = flate.NewReader(bytes.NewReader(compressed))
+	} else if err := r.(flate.Resetter).Reset(bytes.NewReader(compressed), nil); err != nil {
+		return nil, err
+	}
+	defer decompressors.Put(r)
+	return io.ReadAll(io.LimitReader(r, maxMessage))
+}
+
 // decode reads a message. It returns an error if the decompressed content exceeds maxMessage.
 func decode(message []byte, into any) error {
 	if len(message) == 0 {
@@ -70,7 +82,7 @@
 	case formatPlain:
 	case formatDeflate:
 		var err error
-		if payload, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(payload)), maxMessage)); err != nil {
+		if payload, err = decompress(payload); err != nil {
 			return fmt.Errorf("unpack a message: %w", err)
 		}
 	default:
