--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -151,7 +151,7 @@
 // startRelay adds a relay for some of the commits. The returned function closes it.
 func (f *fleet) startRelay(random *rand.Rand) func() {
 	r := &relay{Combiner: combiner.New(combiner.Config{
-		Store: f.store, MaxOperations: 32, BatchDelay: 20 * time.Millisecond, Merger: PoolMerger{},
+		Store: f.store, MaxOperations: 32, BatchDelay: 20 * time.Millisecond, Merger: &PoolMerger{},
 	})}
 	if random != nil {
 		var mu sync.Mutex
--- a/apportioner/merge.go
+++ b/apportioner/merge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -41,27 +42,67 @@
 	return true
 }
 
-// PoolMerger merges the pool values of daemons that rebalance at the same time.
-type PoolMerger struct{}
+// PoolMerger merges the pool values of daemons that rebalance at the same time. It is safe for
+// concurrent use.
+type PoolMerger struct {
+	mu sync.Mutex
+	// decoded holds the pools of recent values. A large fleet rebalances some hundred times a
+	// second from the same few values, and decoding one takes longer than the merge.
+	decoded map[string]pool
+}
+
+// maxDecodedPools limits the decoded values, which take about 60 KB each in a large fleet.
+const maxDecodedPools = 64
 
 // CanMerge reports whether the key is that of the pool.
-func (PoolMerger) CanMerge(key string) bool { return key == poolKey }
+func (*PoolMerger) CanMerge(key string) bool { return key == poolKey }
 
 // Merge applies the change from base to mine to theirs. It fails when the grants of all would
 // exceed what an account has prepaid.
-func (PoolMerger) Merge(key string, base, theirs, mine []byte) ([]byte, error) {
-	var pools [3]pool
-	for i, value := range [][]byte{base, theirs, mine} {
-		p, err := decode[pool](key, value)
-		if err != nil {
-			return nil, err
-		}
-		pools[i] = p.clone()
+func (m *PoolMerger) Merge(key string, base, theirs, mine []byte) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	basePool, err := m.decode(key, base)
+	if err != nil {
+		return nil, err
+	}
+	theirPool, err := m.decode(key, theirs)
+	if err != nil {
+		return nil, err
+	}
+	ownPool, err := decode[pool](key, mine)
+	if err != nil {
+		return nil, err
 	}
-	if err := pools[1].merge(&pools[0], &pools[2]); err != nil {
+	merged := theirPool.clone()
+	if err := merged.merge(&basePool, &ownPool); err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(pools[1])
+	value, err := cbor.Marshal(merged)
+	if err == nil {
+		m.remember(value, merged)
+	}
+	return value, err
+}
+
+// decode returns the pool of a value, which the caller must not change. The lock is held.
+func (m *PoolMerger) decode(key string, value []byte) (pool, error) {
+	if p, ok := m.decoded[string(value)]; ok {
+		return p, nil
+	}
+	p, err := decode[pool](key, value)
+	if err == nil {
+		m.remember(value, p)
+	}
+	return p, err
+}
+
+// remember keeps a decoded value for later merges. The lock is held.
+func (m *PoolMerger) remember(value []byte, p pool) {
+	if m.decoded == nil || len(m.decoded) >= maxDecodedPools {
+		m.decoded = make(map[string]pool)
+	}
+	m.decoded[string(value)] = p
 }
 
 // merge applies the change from base to mine.
--- a/apportioner/merge_test.go
+++ b/apportioner/merge_test.go
@@ -47,7 +47,7 @@
 				require.NoError(t, err)
 				values[i] = text
 			}
-			text, err := PoolMerger{}.Merge(poolKey, values[0], values[1], values[2])
+			text, err := (&PoolMerger{}).Merge(poolKey, values[0], values[1], values[2])
 			if tt.fails {
 				require.Error(t, err)
 				return
@@ -62,7 +62,7 @@
 
 // A value that cannot be decoded fails the merge and is not overwritten with an empty pool.
 func TestMergeFailsOnUndecodablePool(t *testing.T) {
-	_, err := PoolMerger{}.Merge(poolKey, nil, []byte{0xff}, nil)
+	_, err := (&PoolMerger{}).Merge(poolKey, nil, []byte{0xff}, nil)
 	require.Error(t, err)
 }
 
--- a/apportioner/replay_test.go
+++ b/apportioner/replay_test.go
@@ -270,7 +270,7 @@
 }
 
 func (p *replay) startRelay() {
-	p.relay = combiner.New(combiner.Config{Store: p.store, MaxOperations: 32, BatchDelay: 40 * time.Millisecond, Merger: PoolMerger{}})
+	p.relay = combiner.New(combiner.Config{Store: p.store, MaxOperations: 32, BatchDelay: 40 * time.Millisecond, Merger: &PoolMerger{}})
 }
 
 func (p *replay) drawAccount() int {
--- a/combiner/batch.go
+++ b/combiner/batch.go
@@ -67,6 +67,11 @@
 	return true
 }
 
+// hasRoom reports whether the batch can hold the compare and the put of one more key.
+func (b *batch) hasRoom() bool {
+	return len(b.members) == 0 || len(b.txn.Compares)+len(b.txn.Puts)+len(b.txn.Deletes)+2 <= b.maxOperations
+}
+
 // fits reports whether the batch with a transaction added stays within maxOperations.
 func (b *batch) fits(t rebased) bool {
 	size := len(b.txn.Compares) + len(b.txn.Puts) + len(b.txn.Deletes)
--- a/combiner/combiner.go
+++ b/combiner/combiner.go
@@ -186,6 +186,10 @@
 			pending.done <- outcome{err: conflict}
 			continue
 		}
+		if !b.hasRoom() {
+			remaining = append(remaining, pending) // merging its changes now would be in vain
+			continue
+		}
 		t, err := c.rebase(b, pending.txn)
 		switch {
 		case err != nil:
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -166,7 +166,7 @@
 	dial := d.link.Dialer(connector.Dialer(connectTimeout, unacknowledgedTimeout))
 	d.combiner = combiner.New(combiner.Config{
 		Store: c.Adapter.Store, MaxOperations: c.Adapter.MaxOperations, BatchDelay: batchDelay,
-		Merger: apportioner.PoolMerger{}, Recorder: rec,
+		Merger: &apportioner.PoolMerger{}, Recorder: rec,
 	})
 	d.store = relayer.New(relayer.Config{
 		Direct: c.Adapter.Store, Combiner: d.combiner, Self: s.InternalAddress, Dial: dial, Recorder: rec,
