--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -92,6 +92,9 @@
 	joinRetryInterval = 50 * time.Millisecond
 	// conflictBackoff is the mean wait after a first conflict. It grows with each further one.
 	conflictBackoff = 5 * time.Millisecond
+	// registerBackoffPerMember, times the number of daemons seen so far, is added to the longest
+	// wait after a conflict until a daemon has registered.
+	registerBackoffPerMember = 12 * time.Millisecond
 	// rebalanceBackoffPerMember, times the number of daemons, is the mean wait before a
 	// daemon rebalances again after repeated conflicts. A transaction takes 8 to 15 ms, and
 	// all daemons may try at once.
@@ -113,6 +116,8 @@
 	// members and its demand no longer counts. It outlasts partitions, of about nine seconds.
 	memberTimeout = 20 * time.Second
 
+	// leaseTTLStep is the unit of the TTLs of leases in a large fleet.
+	leaseTTLStep = time.Second
 	// leaseExpiryMargin covers the store's delay in expiring a lease and the drift of clocks.
 	leaseExpiryMargin = 300 * time.Millisecond
 	// retryElsewhereDelay is the shortest Retry-After of a refusal when this daemon's share
@@ -325,6 +330,13 @@
 	return a.state.joined
 }
 
+// Registered reports whether the daemon knows the members of the fleet and is one of them.
+func (a *Apportioner) Registered() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.state.rebalancedAt.IsZero()
+}
+
 // MemberCount returns the number of daemons that share the balances, at least 1.
 func (a *Apportioner) MemberCount() int {
 	a.mu.Lock()
@@ -378,9 +390,11 @@
 }
 
 // leaseTTL returns the TTL of a stage's lease. In a large fleet it is longer by as much as the
-// round interval is. The lock is held.
+// round interval is, rounded up: only leases of the same TTL are shared, and the daemons do not
+// count the same members at every moment. The lock is held.
 func (a *Apportioner) leaseTTL(stage int) time.Duration {
-	return stages[stage].leaseTTL + a.scaleToFleet(roundInterval) - roundInterval
+	extension := a.scaleToFleet(roundInterval) - roundInterval
+	return stages[stage].leaseTTL + (extension + leaseTTLStep - 1).Truncate(leaseTTLStep)
 }
 
 // requestRound triggers a round at once.
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -127,9 +127,12 @@
 	// maxEvenFraction is the largest fraction of the allocated tokens that is divided evenly
 	// among all daemons, or among the holders of a balance that is too small for all.
 	maxEvenFraction = 0.6
+	// largeFleetMaxEvenFraction applies instead where a large fleet divides a balance among all
+	// daemons, as the demand of one daemon for one account is a few requests by chance.
+	largeFleetMaxEvenFraction = 0.75
 	// equalWeight is the fraction of the even part of a large fleet that is divided equally. The
 	// rest is divided by the demand of the daemons.
-	equalWeight = 0.25
+	equalWeight = 0.6
 	// shareTolerance is by how much a share may differ from its target before it is changed.
 	// Without it, rounds would keep changing the shares.
 	shareTolerance = 0.1
@@ -250,12 +253,20 @@
 
 // evenFractionOf is the fraction of the allocated tokens that is divided evenly among all
 // daemons or among the holders. In a large fleet it is large enough that each can cover a long
-// request, within the limits evenFraction and maxEvenFraction.
+// request, within the limits evenFraction and maxEvenFractionOf.
 func (q *accountPlan) evenFractionOf(allocated float64, members int) float64 {
 	if members <= smallFleetSize && holderCount(allocated, members) == members {
 		return evenFraction
 	}
-	return min(max(float64(q.longRequest)*float64(members)/max(allocated, 1), evenFraction), maxEvenFraction)
+	return min(max(float64(q.longRequest)*float64(members)/max(allocated, 1), evenFraction), maxEvenFractionOf(members))
+}
+
+// maxEvenFractionOf is the largest fraction of a balance that is divided evenly in a fleet.
+func maxEvenFractionOf(members int) float64 {
+	if members > smallFleetSize {
+		return largeFleetMaxEvenFraction
+	}
+	return maxEvenFraction
 }
 
 // removeMember removes a silent daemon from the members and its demand from the sums. Its row
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -115,13 +115,26 @@
 		if p.rebalances && try > 0 {
 			a.postponeRebalance()
 		}
-		if sleeper.Sleep(ctx, rand.N(time.Duration(try+1)*2*conflictBackoff)) != nil {
+		if sleeper.Sleep(ctx, rand.N(a.maxConflictWait(try))) != nil {
 			return ctx.Err()
 		}
 	}
 	return fmt.Errorf("round: %w in %d transactions", persister.ErrConflict, maxTries)
 }
 
+// maxConflictWait is the longest wait after a conflict. The daemons of a starting fleet all
+// register in the pool at once, before they know the relay that merges their changes. Each waits
+// longer the more daemons it sees there.
+func (a *Apportioner) maxConflictWait(try int) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	wait := time.Duration(try+1) * 2 * conflictBackoff
+	if a.state.rebalancedAt.IsZero() && !a.hasRelay() {
+		wait += time.Duration(len(a.state.pool.Members)) * registerBackoffPerMember
+	}
+	return wait
+}
+
 // postponeRebalance makes a daemon of a large fleet wait before it rebalances again. Until then
 // its rounds settle only its own row. A single conflict does not postpone: its response carries
 // the current state of the pool, and the next attempt can succeed.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -187,7 +187,7 @@
 	})
 	d.upstreamReplicator = replicator.New(replicator.Config{
 		Store: d.store, Prefix: c.Adapter.UpstreamPrefix, Recorder: rec, Handler: d.registrar,
-		BatchDelay: func() time.Duration { return coalesceDelay(d.Members()) },
+		BatchDelay: func() time.Duration { return coalesceDelay(d.Members(), d.shares.Registered()) },
 	})
 	d.quarantiner = quarantiner.New(quarantiner.Config{
 		MaxCrashes: maxCrashes, SuspicionPeriod: suspectRetention, Broadcast: d.publishSuspects, Recorder: rec,
--- a/launcher/relay.go
+++ b/launcher/relay.go
@@ -53,7 +53,11 @@
 	maxCoalesceDelay  = 1000 * time.Millisecond
 )
 
-// coalesceDelay returns how long changes of upstreams are coalesced.
-func coalesceDelay(members int) time.Duration {
+// coalesceDelay returns how long changes of upstreams are coalesced. Until a daemon has registered
+// it does not know the size of the fleet, and with a starting fleet hundreds of upstreams start.
+func coalesceDelay(members int, registered bool) time.Duration {
+	if !registered {
+		return maxCoalesceDelay
+	}
 	return min(time.Duration(members)*coalescePerMember, maxCoalesceDelay)
 }
