--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -138,12 +138,19 @@
 
 func (a *Apportioner) reserve(s *account, maxCost contractor.Tokens) *Reservation {
 	s.reserved += maxCost
-	if a.stage() == stageOpen && s.available(stageOpen) < maxCost {
-		signal(a.roundSoon) // the open part is nearly used up
+	if a.unlocksSoon(s, maxCost) {
+		signal(a.roundSoon)
 	}
 	return &Reservation{apportioner: a, account: s, remaining: maxCost}
 }
 
+// unlocksSoon reports whether the open part no longer covers such a cost and a round would unlock
+// more. In a large fleet most shares are about one request and open as a whole; rounds for those
+// would only load the relay.
+func (a *Apportioner) unlocksSoon(s *account, cost contractor.Tokens) bool {
+	return a.stage() == stageOpen && s.available(stageOpen) < min(cost, s.available(len(stages)))
+}
+
 // awaitRounds waits, with the lock released, for up to two rounds to bring what a request lacks.
 // It stops after maxReserveWait, or when that much is no longer obtainable.
 func (a *Apportioner) awaitRounds(ctx context.Context, s *account, maxCost contractor.Tokens, obtainable func() contractor.Tokens) {
--- a/apportioner/transfer.go
+++ b/apportioner/transfer.go
@@ -36,7 +36,7 @@
 		return 0
 	}
 	s.spent += granted
-	if a.stage() == stageOpen && s.available(stageOpen) < tokens {
+	if a.unlocksSoon(s, tokens) {
 		signal(a.roundSoon)
 	}
 	return granted
