--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -133,6 +133,9 @@
 	// equalWeight is the fraction of the even part of a large fleet that is divided equally. The
 	// rest is divided by the demand of the daemons.
 	equalWeight = 0.6
+	// maxDemandWeight limits the part of a daemon of a large fleet in the demand, as a multiple of
+	// the mean. Callers are spread over the daemons by a hash, a few to each.
+	maxDemandWeight = 6
 	// shareTolerance is by how much a share may differ from its target before it is changed.
 	// Without it, rounds would keep changing the shares.
 	shareTolerance = 0.1
@@ -230,7 +233,7 @@
 		fraction = even * q.evenWeight(count, members)
 	}
 	if s.Demand > 0 {
-		fraction += (1 - even) * float64(q.Demand) / float64(s.Demand)
+		fraction += (1 - even) * demandWeight(float64(q.Demand), float64(s.Demand), members)
 	}
 	target := contractor.Tokens(allocated * fraction)
 	if target < minShare {
@@ -248,7 +251,18 @@
 	if members <= smallFleetSize || count < members || q.fleetDemandRate <= 0 {
 		return equal
 	}
-	return equalWeight*equal + (1-equalWeight)*min(q.daemonDemandRate/q.fleetDemandRate, 1)
+	return equalWeight*equal + (1-equalWeight)*demandWeight(q.daemonDemandRate, q.fleetDemandRate, members)
+}
+
+// demandWeight is a daemon's part of the demand of all. In a large fleet it is limited: when the
+// traffic begins, a sum of demands holds only those of the daemons that have rebalanced since, and
+// the first of them would take the shares of all others.
+func demandWeight(own, all float64, members int) float64 {
+	weight := min(own/all, 1)
+	if members > smallFleetSize {
+		weight = min(weight, maxDemandWeight/float64(members))
+	}
+	return weight
 }
 
 // evenFractionOf is the fraction of the allocated tokens that is divided evenly among all
