--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -137,8 +137,11 @@
 	fullBalanceOpenFraction = 0.14
 	// minShare is the smallest share in tokens that a daemon holds without a request that
 	// needs it: about one request of medium length. Smaller shares stay in the pool, where
-	// any daemon can use them.
-	minShare = 12_000
+	// any daemon can use them. largeFleetMinShare applies where a large fleet divides a balance
+	// among all daemons: in a partition, even a short request is served only from what its daemon
+	// holds.
+	minShare           = 12_000
+	largeFleetMinShare = 4_000
 	// longRequestTokens is the cost of a long request. While a balance is ample, each daemon
 	// can cover one. The users' longest kind of request takes 17,000 tokens on average, and
 	// its longest tenth 38,000. Once a daemon has seen minObservedRequests, the largest of
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -236,7 +236,7 @@
 		fraction += (1 - even) * demandWeight(float64(q.Demand), float64(s.Demand), members)
 	}
 	target := contractor.Tokens(allocated * fraction)
-	if target < minShare {
+	if target < minShare && (members <= smallFleetSize || target < largeFleetMinShare) {
 		return 0
 	}
 	return target
