--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -129,10 +129,7 @@
 	maxEvenFraction = 0.6
 	// largeFleetMaxEvenFraction applies instead where a large fleet divides a balance among all
 	// daemons, as the demand of one daemon for one account is a few requests by chance.
-	largeFleetMaxEvenFraction = 0.75
-	// equalWeight is the fraction of the even part of a large fleet that is divided equally. The
-	// rest is divided by the demand of the daemons.
-	equalWeight = 0.6
+	largeFleetMaxEvenFraction = 0.95
 	// maxDemandWeight limits the part of a daemon of a large fleet in the demand, as a multiple of
 	// the mean. Callers are spread over the daemons by a hash, a few to each.
 	maxDemandWeight = 6
@@ -160,9 +157,6 @@
 	// registering is true if this is the daemon's first round in a fleet that has no demand yet.
 	registering bool
 	leaving     bool
-	// daemonDemandRate is the daemon's demand for all accounts, and fleetDemandRate that of all
-	// daemons, in tokens per second.
-	daemonDemandRate, fleetDemandRate float64
 }
 
 // targetGrant returns the new value of Granted in the daemon's row. The sums already include
@@ -217,7 +211,7 @@
 	if q.members <= smallFleetSize {
 		return demand
 	}
-	return max(demand, min(held, float64(q.longRequest)*q.unspentFraction*q.unspentFraction))
+	return max(demand, min(held*q.unspentFraction, float64(q.longRequest)*q.unspentFraction*q.unspentFraction))
 }
 
 // target is the share of the unspent balance that the daemon holds when no request waits.
@@ -230,7 +224,7 @@
 	}
 	fraction := 0.0
 	if count == members || q.holder {
-		fraction = even * q.evenWeight(count, members)
+		fraction = even / float64(count)
 	}
 	if s.Demand > 0 {
 		fraction += (1 - even) * demandWeight(float64(q.Demand), float64(s.Demand), members)
@@ -242,18 +236,6 @@
 	return target
 }
 
-// evenWeight is the daemon's weight in the part of a balance that is divided among count daemons,
-// whether or not they had requests of the account. In a large fleet a daemon gets so few requests
-// of one account that its demand for all accounts predicts them better: callers stay with a
-// daemon, and their number differs from daemon to daemon.
-func (q *accountPlan) evenWeight(count, members int) float64 {
-	equal := 1 / float64(count)
-	if members <= smallFleetSize || count < members || q.fleetDemandRate <= 0 {
-		return equal
-	}
-	return equalWeight*equal + (1-equalWeight)*demandWeight(q.daemonDemandRate, q.fleetDemandRate, members)
-}
-
 // demandWeight is a daemon's part of the demand of all. In a large fleet it is limited: when the
 // traffic begins, a sum of demands holds only those of the daemons that have rebalanced since, and
 // the first of them would take the shares of all others.
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -118,10 +118,9 @@
 // planAccounts plans each account: what was spent, the limits and, if the round rebalances,
 // the grant.
 func (a *Apportioner) planAccounts(p *proposal, now time.Time) {
-	demandRate, fleetDemand := a.demandRate(now), p.pool.demand()
 	// When a fleet starts, its daemons register one after another. One that took its whole share
 	// of the members seen so far would take those of the daemons that follow.
-	registering := a.state.rebalancedAt.IsZero() && fleetDemand == 0
+	registering := a.state.rebalancedAt.IsZero() && p.pool.demand() == 0
 	for name, s := range a.accounts {
 		next := p.row.Accounts[name]
 		next.Spent = s.spent
@@ -129,7 +128,7 @@
 			holding: next, reserved: s.reserved, awaited: s.awaited, demandRate: s.currentDemand(now),
 			// Zero for an account that no longer has a limit, which returns its share.
 			prepaid: a.prepaid[name], members: a.plannedMemberCount(p), allocatedFraction: a.config.AllocatedFraction, leaving: a.state.leaving,
-			registering: registering, daemonDemandRate: demandRate, fleetDemandRate: fleetDemand,
+			registering:     registering,
 			unspentFraction: a.unspentFraction(name), openTime: a.leaseTTL(stageOpen), longRequest: a.longRequestCost(),
 		}
 		q.holder = p.rebalances && a.isHolder(name, &p.pool)
@@ -154,16 +153,6 @@
 	}
 }
 
-// demandRate is the demand of this daemon for all accounts, in tokens per second. The lock is
-// held.
-func (a *Apportioner) demandRate(now time.Time) float64 {
-	sum := 0.0
-	for _, s := range a.accounts {
-		sum += s.currentDemand(now)
-	}
-	return sum
-}
-
 // plannedMemberCount is the number of members in the proposal, or in the pool as last read if
 // the proposal does not rebalance.
 func (a *Apportioner) plannedMemberCount(p *proposal) int {
