--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -164,7 +164,7 @@
 	// fullRateFleetSize is the number of daemons up to which the intervals apply unchanged. In a
 	// larger fleet they grow in proportion: the relay gets at most about as many periodic rounds
 	// a second, beside those for requests that wait.
-	fullRateFleetSize = 128
+	fullRateFleetSize = 300
 )
 
 // stages define how a grant is unlocked while the store is unavailable.
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -204,14 +204,15 @@
 // openPart is what can be spent at once without the store: the demand of the first stage. In a
 // large fleet a daemon holds only the tokens of about one request, and an open part that is
 // smaller than a request is useless during a partition. There the open part covers a long
-// request while the balance is full. In a small fleet, that would lose too many tokens when a
+// request, or the demand of the first stage, while the balance is full. In a small fleet, that would lose too many tokens when a
 // daemon is killed.
 func (q *accountPlan) openPart(held float64) float64 {
 	demand := min(q.demandRate*q.openTime.Seconds(), held*(openFraction+fullBalanceOpenFraction*q.unspentFraction*q.unspentFraction))
 	if q.members <= smallFleetSize {
 		return demand
 	}
-	return max(demand, min(held*q.unspentFraction, float64(q.longRequest)*q.unspentFraction*q.unspentFraction))
+	needed := max(float64(q.longRequest)*q.unspentFraction*q.unspentFraction, demandMargin*q.demandRate*q.openTime.Seconds())
+	return max(demand, min(held*q.unspentFraction, needed))
 }
 
 // target is the share of the unspent balance that the daemon holds when no request waits.
