--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -92,6 +92,8 @@
 	joinRetryInterval = 50 * time.Millisecond
 	// conflictBackoff is the mean wait after a first conflict. It grows with each further one.
 	conflictBackoff = 5 * time.Millisecond
+	// registerSpread is the time over which the daemons of a starting fleet register in the pool.
+	registerSpread = 1500 * time.Millisecond
 	// registerBackoffPerMember, times the number of daemons seen so far, is added to the longest
 	// wait after a conflict until a daemon has registered.
 	registerBackoffPerMember = 12 * time.Millisecond
@@ -263,6 +265,8 @@
 	// rebalancedAt is when the daemon last rebalanced, and rebalanceAfter when it tries again
 	// after conflicts with other daemons.
 	rebalancedAt, rebalanceAfter time.Time
+	// registerAfter is when the daemon registers, unless a request waits.
+	registerAfter time.Time
 	// leasedAt is when the daemon last got a lease for a stage, and leaseExpiry when all of
 	// the stage's leases must have expired.
 	leasedAt, leaseExpiry [len(stages)]time.Time
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -72,7 +72,7 @@
 		return false
 	}
 	if state.leaving || state.rebalancedAt.IsZero() {
-		return true
+		return state.leaving || !now.Before(state.registerAfter) || a.requestWaits()
 	}
 	if since >= a.rebalanceIntervalNow() {
 		return true
@@ -80,6 +80,11 @@
 	if since < a.urgentInterval() {
 		return false
 	}
+	return a.requestWaits()
+}
+
+// requestWaits reports whether a request waits for more than this daemon holds. The lock is held.
+func (a *Apportioner) requestWaits() bool {
 	for _, s := range a.accounts {
 		if s.awaited > 0 && s.awaited > s.granted-s.spent-s.reserved {
 			return true
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -231,6 +231,9 @@
 func (a *Apportioner) join() {
 	state := &a.state
 	state.joined = true
+	if len(state.pool.Members) == 0 {
+		state.registerAfter = a.config.Now().Add(rand.N(registerSpread))
+	}
 	for name, h := range state.row.Accounts {
 		s := a.account(name)
 		s.granted, s.limits, s.spent = h.Granted, h.Limits, h.Spent
