--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -92,6 +92,11 @@
 	joinRetryInterval = 50 * time.Millisecond
 	// conflictBackoff is the mean wait after a first conflict. It grows with each further one.
 	conflictBackoff = 5 * time.Millisecond
+	// registerSpread is the time over which the daemons of a starting fleet register in the pool.
+	registerSpread = 1500 * time.Millisecond
+	// registerBackoffPerMember, times the number of daemons seen so far, is added to the longest
+	// wait after a conflict until a daemon has registered.
+	registerBackoffPerMember = 12 * time.Millisecond
 	// rebalanceBackoffPerMember, times the number of daemons, is the mean wait before a
 	// daemon rebalances again after repeated conflicts. A transaction takes 8 to 15 ms, and
 	// all daemons may try at once.
@@ -113,6 +118,8 @@
 	// members and its demand no longer counts. It outlasts partitions, of about nine seconds.
 	memberTimeout = 20 * time.Second
 
+	// leaseTTLStep is the unit of the TTLs of leases in a large fleet.
+	leaseTTLStep = time.Second
 	// leaseExpiryMargin covers the store's delay in expiring a lease and the drift of clocks.
 	leaseExpiryMargin = 300 * time.Millisecond
 	// retryElsewhereDelay is the shortest Retry-After of a refusal when this daemon's share
@@ -132,8 +139,11 @@
 	fullBalanceOpenFraction = 0.14
 	// minShare is the smallest share in tokens that a daemon holds without a request that
 	// needs it: about one request of medium length. Smaller shares stay in the pool, where
-	// any daemon can use them.
-	minShare = 12_000
+	// any daemon can use them. largeFleetMinShare applies where a large fleet divides a balance
+	// among all daemons: in a partition, even a short request is served only from what its daemon
+	// holds.
+	minShare           = 12_000
+	largeFleetMinShare = 4_000
 	// longRequestTokens is the cost of a long request. While a balance is ample, each daemon
 	// can cover one. The users' longest kind of request takes 17,000 tokens on average, and
 	// its longest tenth 38,000. Once a daemon has seen minObservedRequests, the largest of
@@ -154,8 +164,8 @@
 	// fleet has a relay.
 	smallFleetSize = 28
 	// fullRateFleetSize is the number of daemons up to which the intervals apply unchanged. In a
-	// larger fleet they grow in proportion, so that the relay gets at most about as many rounds
-	// a second.
+	// larger fleet they grow in proportion: the relay gets at most about as many periodic rounds
+	// a second, beside those for requests that wait.
 	fullRateFleetSize = 300
 )
 
@@ -255,6 +265,8 @@
 	// rebalancedAt is when the daemon last rebalanced, and rebalanceAfter when it tries again
 	// after conflicts with other daemons.
 	rebalancedAt, rebalanceAfter time.Time
+	// registerAfter is when the daemon registers, unless a request waits.
+	registerAfter time.Time
 	// leasedAt is when the daemon last got a lease for a stage, and leaseExpiry when all of
 	// the stage's leases must have expired.
 	leasedAt, leaseExpiry [len(stages)]time.Time
@@ -325,6 +337,13 @@
 	return a.state.joined
 }
 
+// Registered reports whether the daemon knows the members of the fleet and is one of them.
+func (a *Apportioner) Registered() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.state.rebalancedAt.IsZero()
+}
+
 // MemberCount returns the number of daemons that share the balances, at least 1.
 func (a *Apportioner) MemberCount() int {
 	a.mu.Lock()
@@ -378,9 +397,11 @@
 }
 
 // leaseTTL returns the TTL of a stage's lease. In a large fleet it is longer by as much as the
-// round interval is. The lock is held.
+// round interval is, rounded up: only leases of the same TTL are shared, and the daemons do not
+// count the same members at every moment. The lock is held.
 func (a *Apportioner) leaseTTL(stage int) time.Duration {
-	return stages[stage].leaseTTL + a.scaleToFleet(roundInterval) - roundInterval
+	extension := a.scaleToFleet(roundInterval) - roundInterval
+	return stages[stage].leaseTTL + (extension + leaseTTLStep - 1).Truncate(leaseTTLStep)
 }
 
 // requestRound triggers a round at once.
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -127,9 +127,12 @@
 	// maxEvenFraction is the largest fraction of the allocated tokens that is divided evenly
 	// among all daemons, or among the holders of a balance that is too small for all.
 	maxEvenFraction = 0.6
-	// equalWeight is the fraction of the even part of a large fleet that is divided equally. The
-	// rest is divided by the demand of the daemons.
-	equalWeight = 0.25
+	// largeFleetMaxEvenFraction applies instead where a large fleet divides a balance among all
+	// daemons, as the demand of one daemon for one account is a few requests by chance.
+	largeFleetMaxEvenFraction = 0.95
+	// maxDemandWeight limits the part of a daemon of a large fleet in the demand, as a multiple of
+	// the mean. Callers are spread over the daemons by a hash, a few to each.
+	maxDemandWeight = 6
 	// shareTolerance is by how much a share may differ from its target before it is changed.
 	// Without it, rounds would keep changing the shares.
 	shareTolerance = 0.1
@@ -154,9 +157,6 @@
 	// registering is true if this is the daemon's first round in a fleet that has no demand yet.
 	registering bool
 	leaving     bool
-	// daemonDemandRate is the daemon's demand for all accounts, and fleetDemandRate that of all
-	// daemons, in tokens per second.
-	daemonDemandRate, fleetDemandRate float64
 }
 
 // targetGrant returns the new value of Granted in the daemon's row. The sums already include
@@ -204,14 +204,15 @@
 // openPart is what can be spent at once without the store: the demand of the first stage. In a
 // large fleet a daemon holds only the tokens of about one request, and an open part that is
 // smaller than a request is useless during a partition. There the open part covers a long
-// request while the balance is full. In a small fleet, that would lose too many tokens when a
+// request, or the demand of the first stage, while the balance is full. In a small fleet, that would lose too many tokens when a
 // daemon is killed.
 func (q *accountPlan) openPart(held float64) float64 {
 	demand := min(q.demandRate*q.openTime.Seconds(), held*(openFraction+fullBalanceOpenFraction*q.unspentFraction*q.unspentFraction))
 	if q.members <= smallFleetSize {
 		return demand
 	}
-	return max(demand, min(held, float64(q.longRequest)*q.unspentFraction*q.unspentFraction))
+	needed := max(float64(q.longRequest)*q.unspentFraction*q.unspentFraction, demandMargin*q.demandRate*q.openTime.Seconds())
+	return max(demand, min(held*q.unspentFraction, needed))
 }
 
 // target is the share of the unspent balance that the daemon holds when no request waits.
@@ -224,38 +225,45 @@
 	}
 	fraction := 0.0
 	if count == members || q.holder {
-		fraction = even * q.evenWeight(count, members)
+		fraction = even / float64(count)
 	}
 	if s.Demand > 0 {
-		fraction += (1 - even) * float64(q.Demand) / float64(s.Demand)
+		fraction += (1 - even) * demandWeight(float64(q.Demand), float64(s.Demand), members)
 	}
 	target := contractor.Tokens(allocated * fraction)
-	if target < minShare {
+	if target < minShare && (members <= smallFleetSize || target < largeFleetMinShare) {
 		return 0
 	}
 	return target
 }
 
-// evenWeight is the daemon's weight in the part of a balance that is divided among count daemons,
-// whether or not they had requests of the account. In a large fleet a daemon gets so few requests
-// of one account that its demand for all accounts predicts them better: callers stay with a
-// daemon, and their number differs from daemon to daemon.
-func (q *accountPlan) evenWeight(count, members int) float64 {
-	equal := 1 / float64(count)
-	if members <= smallFleetSize || count < members || q.fleetDemandRate <= 0 {
-		return equal
+// demandWeight is a daemon's part of the demand of all. In a large fleet it is limited: when the
+// traffic begins, a sum of demands holds only those of the daemons that have rebalanced since, and
+// the first of them would take the shares of all others.
+func demandWeight(own, all float64, members int) float64 {
+	weight := min(own/all, 1)
+	if members > smallFleetSize {
+		weight = min(weight, maxDemandWeight/float64(members))
 	}
-	return equalWeight*equal + (1-equalWeight)*min(q.daemonDemandRate/q.fleetDemandRate, 1)
+	return weight
 }
 
 // evenFractionOf is the fraction of the allocated tokens that is divided evenly among all
 // daemons or among the holders. In a large fleet it is large enough that each can cover a long
-// request, within the limits evenFraction and maxEvenFraction.
+// request, within the limits evenFraction and maxEvenFractionOf.
 func (q *accountPlan) evenFractionOf(allocated float64, members int) float64 {
 	if members <= smallFleetSize && holderCount(allocated, members) == members {
 		return evenFraction
 	}
-	return min(max(float64(q.longRequest)*float64(members)/max(allocated, 1), evenFraction), maxEvenFraction)
+	return min(max(float64(q.longRequest)*float64(members)/max(allocated, 1), evenFraction), maxEvenFractionOf(members))
+}
+
+// maxEvenFractionOf is the largest fraction of a balance that is divided evenly in a fleet.
+func maxEvenFractionOf(members int) float64 {
+	if members > smallFleetSize {
+		return largeFleetMaxEvenFraction
+	}
+	return maxEvenFraction
 }
 
 // removeMember removes a silent daemon from the members and its demand from the sums. Its row
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -166,7 +166,7 @@
 	dial := d.link.Dialer(connector.Dialer(connectTimeout, unacknowledgedTimeout))
 	d.combiner = combiner.New(combiner.Config{
 		Store: c.Adapter.Store, MaxOperations: c.Adapter.MaxOperations, BatchDelay: batchDelay,
-		Merger: apportioner.PoolMerger{}, Recorder: rec,
+		Merger: &apportioner.PoolMerger{}, Recorder: rec,
 	})
 	d.store = relayer.New(relayer.Config{
 		Direct: c.Adapter.Store, Combiner: d.combiner, Self: s.InternalAddress, Dial: dial, Recorder: rec,
@@ -187,7 +187,7 @@
 	})
 	d.upstreamReplicator = replicator.New(replicator.Config{
 		Store: d.store, Prefix: c.Adapter.UpstreamPrefix, Recorder: rec, Handler: d.registrar,
-		BatchDelay: func() time.Duration { return coalesceDelay(d.Members()) },
+		BatchDelay: func() time.Duration { return coalesceDelay(d.Members(), d.shares.Registered()) },
 	})
 	d.quarantiner = quarantiner.New(quarantiner.Config{
 		MaxCrashes: maxCrashes, SuspicionPeriod: suspectRetention, Broadcast: d.publishSuspects, Recorder: rec,
