--- a/apportioner/transfer_test.go
+++ b/apportioner/transfer_test.go
@@ -1,6 +1,7 @@
 package apportioner
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -211,3 +212,78 @@
 		require.Equal(t, contractor.Tokens(longRequestTokens), d.longRequestCost())
 	})
 }
+
+// Guards against a daemon that takes the shares of all others of a large fleet: when the traffic
+// begins, the sum of the demands holds little more than its own.
+func TestFirstDemandDoesNotDrawTheWholeBalance(t *testing.T) {
+	const prepaid = 100_000_000
+	tests := []struct {
+		members int
+		atMost  contractor.Tokens
+	}{
+		{members: 7, atMost: prepaid},
+		{members: 295, atMost: 2 * maxDemandWeight * prepaid / 295},
+	}
+	for _, tt := range tests {
+		q := accountPlan{
+			holding: holding{Demand: 1000}, prepaid: prepaid, members: tt.members, holder: true,
+			allocatedFraction: defaultAllocatedFraction, longRequest: longRequestTokens,
+		}
+		require.LessOrEqual(t, q.target(sums{Demand: 1000}), tt.atMost, "%+v", tt)
+	}
+}
+
+// Guards against leases that each daemon gets for itself, because the daemons count different
+// members while a fleet changes: the relay shares only leases of the same TTL.
+func TestLeaseTTLsOfAFleetAreFew(t *testing.T) {
+	ttls := make(map[time.Duration]bool)
+	for members := 280; members <= 300; members++ {
+		a := New(Config{Name: "edge-1"})
+		a.state.pool.Members = make(map[string]member)
+		for i := range members {
+			a.state.pool.Members[fmt.Sprint("edge-", i)] = member{}
+		}
+		for i := range stages {
+			ttls[a.leaseTTL(i)] = true
+		}
+	}
+	require.Len(t, ttls, len(stages))
+}
+
+// Guards against rounds that cannot unlock anything. In a large fleet a share is about one request
+// and open as a whole, so nearly each request would cause such a round.
+func TestRoundsFollowOnlyWhereTheyUnlockTokens(t *testing.T) {
+	tests := []struct {
+		granted, open, cost contractor.Tokens
+		unlocks             bool
+	}{
+		{granted: 20_000, open: 20_000, cost: 17_000},
+		{granted: 60_000, open: 20_000, cost: 17_000},
+		{granted: 60_000, open: 10_000, cost: 17_000, unlocks: true},
+		{granted: 10_000, open: 10_000, cost: 17_000},
+	}
+	for _, tt := range tests {
+		a := New(Config{Name: "edge-1"})
+		s := &account{granted: tt.granted}
+		s.limits[stageOpen] = tt.open
+		require.Equal(t, tt.unlocks, a.unlocksSoon(s, tt.cost), "%+v", tt)
+	}
+}
+
+// Guards against daemons of a starting fleet that all register in the empty pool at once: each of
+// their transactions would conflict with those of all others.
+func TestDaemonsOfAStartingFleetRegisterOneAfterAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(60, 60_000_000)
+		defer f.stopAll()
+		f.store.SetFaults(emulator.StoreFaults{Delay: 4 * time.Millisecond})
+		time.Sleep(registerSpread + 500*time.Millisecond)
+		commits, conflicts := f.writes()
+		t.Logf("%d commits, %d conflicts", commits, conflicts)
+		require.Less(t, conflicts, int64(maxTries*len(f.daemons)), "the tries of one round each")
+		time.Sleep(10 * time.Second)
+		for _, d := range f.daemons {
+			require.True(t, d.Registered(), d.name)
+		}
+	})
+}
--- a/combiner/combiner_test.go
+++ b/combiner/combiner_test.go
@@ -175,6 +175,70 @@
 	})
 }
 
+// Guards against a plan from a state that was replaced long ago: its caller would take what others
+// have been granted since. It gets the newest state at once, without a call or a batch, and plans
+// again. All daemons of a large fleet rebalance from states of some seconds ago.
+func TestChangeOfAnOldStateIsAConflictAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		first, _, err := f.Commit(t.Context(), put("sum", 0, "1"))
+		require.NoError(t, err)
+		_, _, err = f.Commit(t.Context(), put("sum", first, "2"))
+		require.NoError(t, err)
+		time.Sleep(maxMergeAge + time.Millisecond)
+		start, calls := time.Now(), f.store.Counts().Calls()
+		_, _, err = f.Commit(t.Context(), put("sum", first, "9"))
+		var conflict *persister.ConflictError
+		require.ErrorAs(t, err, &conflict)
+		require.Equal(t, []persister.Entry{f.store.Peek("sum")}, conflict.Entries)
+		require.Zero(t, time.Since(start))
+		require.Equal(t, calls, f.store.Counts().Calls())
+		newest := f.store.Peek("sum").Revision
+		_, _, err = f.Commit(t.Context(), put("sum", newest, "9"))
+		require.NoError(t, err, "the newest state never gets too old")
+	})
+}
+
+// Guards against a relay that falls behind when daemons send more transactions than fit into a
+// batch, as all daemons of a large fleet do after a partition: it must neither wait between full
+// batches nor merge the changes of transactions that have to wait for a later batch.
+func TestQueueIsCommittedInFullBatchesWithoutDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		merger := &countingMerger{adder: adder{limit: 100_000}}
+		f.config.Merger = merger
+		const transactions = 300
+		var txns []persister.Txn
+		for i := range transactions {
+			txn := put(fmt.Sprint("row/", i), 0, "x")
+			shared := put("sum", 0, "1")
+			txn.Compares, txn.Puts = append(txn.Compares, shared.Compares...), append(txn.Puts, shared.Puts...)
+			txns = append(txns, txn)
+		}
+		f.store.SetFaults(emulator.StoreFaults{Delay: 4 * time.Millisecond})
+		f.recordStates([]persister.Entry{{Key: "sum"}})
+		start := time.Now()
+		for _, err := range f.commitAll(t.Context(), txns...) {
+			require.NoError(t, err)
+		}
+		batches := transactions/15 + 1
+		require.LessOrEqual(t, time.Since(start), f.config.BatchDelay+time.Duration(batches)*5*time.Millisecond)
+		require.LessOrEqual(t, merger.merges, transactions+batches)
+		require.Equal(t, strconv.Itoa(transactions), string(f.store.Peek("sum").Value))
+	})
+}
+
+// countingMerger counts the merges.
+type countingMerger struct {
+	adder
+	merges int
+}
+
+func (m *countingMerger) Merge(key string, base, theirs, mine []byte) ([]byte, error) {
+	m.merges++
+	return m.adder.Merge(key, base, theirs, mine)
+}
+
 // Guards against committing a change that the Merger rejects, here because the sum would exceed
 // the limit.
 func TestChangeThatCannotBeMergedIsAConflict(t *testing.T) {
