--- a/apportioner/replay_test.go
+++ b/apportioner/replay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,7 +125,7 @@
 	if err := s.replay.reach(ctx); err != nil {
 		return 0, nil, err
 	}
-	return s.replay.relay.Commit(ctx, txn)
+	return s.replay.relay.Load().Commit(ctx, txn)
 }
 
 func (s *replayStore) Commit(ctx context.Context, txn persister.Txn) (contractor.Revision, error) {
@@ -143,13 +144,13 @@
 	if err := s.replay.reach(ctx); err != nil {
 		return 0, err
 	}
-	return s.replay.relay.GrantLease(ctx, ttl)
+	return s.replay.relay.Load().GrantLease(ctx, ttl)
 }
 
 // replayDaemon is one daemon of a replay.
 type replayDaemon struct {
 	index   int
-	current *Apportioner
+	current atomic.Pointer[Apportioner]
 	starts  uint64
 	stop    context.CancelFunc
 }
@@ -195,7 +196,7 @@
 	load    replayLoad
 	random  *rand.Rand
 	store   *emulator.Store
-	relay   *combiner.Combiner
+	relay   atomic.Pointer[combiner.Combiner]
 	network *network
 	daemons []*replayDaemon
 	prepaid map[contractor.Account]contractor.Tokens
@@ -270,7 +271,7 @@
 }
 
 func (p *replay) startRelay() {
-	p.relay = combiner.New(combiner.Config{Store: p.store, MaxOperations: 32, BatchDelay: 40 * time.Millisecond, Merger: &PoolMerger{}})
+	p.relay.Store(combiner.New(combiner.Config{Store: p.store, MaxOperations: 32, BatchDelay: 40 * time.Millisecond, Merger: &PoolMerger{}}))
 }
 
 func (p *replay) drawAccount() int {
@@ -305,7 +306,8 @@
 	t = transferrer.New(transferrer.Config{Conn: p.network.listen(addressOf(d.index)), Shares: a, Peers: a.TransferPeers})
 	ctx, cancel := context.WithCancel(context.Background())
 	a.SetPrepaidLimits(p.prepaid)
-	d.current, d.stop = a, cancel
+	d.current.Store(a)
+	d.stop = cancel
 	go a.Run(ctx)
 	go t.Run(ctx)
 }
@@ -378,7 +380,7 @@
 	for _, d := range p.daemons {
 		d.stop()
 	}
-	p.relay.Close()
+	p.relay.Load().Close()
 	time.Sleep(downTime)
 	p.boots++
 	p.startRelay()
@@ -391,11 +393,11 @@
 func (p *replay) request(phase int, first, second *replayDaemon, account contractor.Account, prompt contractor.Tokens, k requestKind) {
 	p.update(func() { p.phases[phase].requests++ })
 	maxCost := prompt + k.maxOutput
-	r, err := first.current.Reserve(context.Background(), account, maxCost)
+	r, err := first.current.Load().Reserve(context.Background(), account, maxCost)
 	if err != nil {
 		p.update(func() { p.phases[phase].retried++ })
 		time.Sleep(min(time.Second, k.deadline/3))
-		r, err = second.current.Reserve(context.Background(), account, maxCost)
+		r, err = second.current.Load().Reserve(context.Background(), account, maxCost)
 	}
 	if err != nil {
 		p.update(func() { p.phases[phase].refused++ })
@@ -423,7 +425,7 @@
 	for _, d := range p.daemons {
 		d.stop()
 	}
-	p.relay.Close()
+	p.relay.Load().Close()
 }
 
 // maxRefusedInContact is the fraction of the requests that may be refused for lack of tokens while
