--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -76,7 +76,7 @@
 	rebalanceIntervalPerMember = 15 * time.Millisecond
 	// joinRebalanceInterval is the time between the first rebalancing rounds of a daemon, whose
 	// view of the members is still incomplete when a fleet starts.
-	joinRebalanceInterval = 2 * time.Second
+	joinRebalanceInterval = time.Second
 	joinRebalances        = 3
 	// urgentRebalanceInterval is the shortest time between two rounds that rebalance because
 	// a share is used up. mergedRebalanceInterval applies instead where a relay merges the
@@ -93,7 +93,7 @@
 	// conflictBackoff is the mean wait after a first conflict. It grows with each further one.
 	conflictBackoff = 5 * time.Millisecond
 	// registerSpread is the time over which the daemons of a starting fleet register in the pool.
-	registerSpread = 1500 * time.Millisecond
+	registerSpread = time.Second
 	// registerBackoffPerMember, times the number of daemons seen so far, is added to the longest
 	// wait after a conflict until a daemon has registered.
 	registerBackoffPerMember = 12 * time.Millisecond
