forwarder, connector, framer: log how the end of a broken stream was marked

Cause: of the two hypotheses for the truncated streams, a close of the connection taken for the end of the answer, and an abort that is framed as complete, the logs told neither: answer_broken was logged for failed reads only, and the framing of a response nowhere. Change: package framer names the framing of a body and finds the end of events; answer_broken carries the framing and is logged for a stream that ends inside an event; connector.close_delimited counts responses without length and chunks. No decision changes. Conclusion: hypothesis 1 now shows as answer_broken with connection_close and no request_refused; hypothesis 2 as both.

--- a/connector/response.go
+++ b/connector/response.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"laburnumline/framer"
 )
 
 // Response is a response whose header has been read.
@@ -21,7 +23,10 @@
 	Metadata Metadata
 	// Length is the length of the body in bytes, or -1 if the header does not state it.
 	Length int64
-	// Body returns io.EOF only at the end of a complete body.
+	// Framing is how the end of the body is marked. A body that ends with its connection
+	// may be truncated although Body has returned io.EOF.
+	Framing framer.Framing
+	// Body returns io.EOF only at the end of the body that Framing marks.
 	Body io.Reader
 
 	pool         *Pool
@@ -103,7 +108,7 @@
 			return nil
 		}
 		r.pool.config.Recorder.Count("connector.foreign_answers", 1)
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if response.Close || framer.Of(response) == framer.ConnectionClose {
 			return errForeignResponse
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -115,7 +120,10 @@
 
 func (r *Response) accept(response *http.Response, metadata Metadata) {
 	r.httpResponse, r.Status, r.Header, r.Metadata = response, response.StatusCode, response.Header, metadata
-	r.Length = response.ContentLength
+	r.Length, r.Framing = response.ContentLength, framer.Of(response)
+	if r.Framing == framer.ConnectionClose {
+		r.pool.config.Recorder.Count("connector.close_delimited", 1)
+	}
 	r.Body = bodyReader{r}
 	if timeout, ok := keepAliveTimeout(response.Header); ok {
 		r.connection.idleTimeout = timeout
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"laburnumline/balancer"
 	"laburnumline/connector"
+	"laburnumline/framer"
 	"laburnumline/recorder"
 	"laburnumline/refuser"
 	"laburnumline/retrier"
@@ -257,5 +257,5 @@
 	if response.Status != http.StatusOK {
 		return false
 	}
-	return slices.ContainsFunc(response.Header.Values("Content-Type"), isEventStream)
+	return framer.IsEventStream(response.Header)
 }
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"laburnumline/connector"
+	"laburnumline/framer"
 	"laburnumline/recorder"
 )
 
@@ -73,6 +74,9 @@
 		pending = append(pending, buffer[:n]...)
 		complete := completeEventsLength(pending)
 		if errors.Is(err, io.EOF) {
+			if framer.EndsInsideEvent(pending[complete:]) {
+				x.recordBrokenStream(response, framer.ErrTruncated)
+			}
 			complete = len(pending)
 		}
 		if complete > 0 {
@@ -86,8 +90,7 @@
 			return nil
 		}
 		if err != nil {
-			x.forwarder.config.Recorder.Event(recorder.AnswerBroken, "id", x.request.ID, "last_event", x.lastEventID,
-				"events", x.eventCount, "err", err)
+			x.recordBrokenStream(response, err)
 			failed := x.responseFailure(err)
 			failed.connectionLost = true
 			return failed
@@ -95,6 +98,11 @@
 	}
 }
 
+func (x *exchange) recordBrokenStream(response *connector.Response, err error) {
+	x.forwarder.config.Recorder.Event(recorder.AnswerBroken, "id", x.request.ID, "last_event", x.lastEventID,
+		"events", x.eventCount, "framing", response.Framing, "err", err)
+}
+
 var errCallerDisconnected = errors.New("caller disconnected")
 
 // startStream writes the status and headers of the response. A stream that resumes at
@@ -142,10 +150,6 @@
 	return 0
 }
 
-func isEventStream(contentType string) bool {
-	return strings.HasPrefix(strings.ToLower(contentType), "text/event-stream")
-}
-
 // hopByHopHeaders are meaningful for a single connection only and are not forwarded.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
