--- a/dispatcher/service_test.go
+++ b/dispatcher/service_test.go
@@ -17,6 +17,7 @@
 	"laburnumline/conductor"
 	"laburnumline/contractor"
 	"laburnumline/dispatcher"
+	"laburnumline/framer"
 )
 
 // Guards against forwarding the caller's credentials and hop-by-hop headers,
@@ -51,16 +52,6 @@
 // each step; if it was sent it must not count as not sent, because it would be
 // executed twice.
 func TestServiceFailuresReportPhaseAndCause(t *testing.T) {
-	closeAfter := func(response string) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err == nil {
-				_, _ = io.WriteString(conn, response)
-				_ = conn.Close()
-			}
-		}
-	}
 	hang := func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
@@ -98,6 +89,49 @@
 	}
 }
 
+// closeAfter returns a handler that writes a response as it is and closes the connection.
+func closeAfter(response string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, response)
+			_ = conn.Close()
+		}
+	}
+}
+
+// A service crashes while it sends a response that has neither a length nor chunks. The end of
+// the connection must not pass for the end of the response if its content is truncated.
+func TestTruncatedServiceResponseIsAFailure(t *testing.T) {
+	tests := []struct{ name, response, body string }{
+		{"document", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"order\":", ""},
+		{"problem document", "HTTP/1.1 404 Not Found\r\nContent-Type: application/problem+json; charset=utf-8\r\n\r\n{", ""},
+		{"event", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: x\n\nda", ""},
+		{"complete document", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n[7]", "[7]"},
+		{"document with a length", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 1\r\n\r\n{", "{"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(closeAfter(test.response))
+			defer server.Close()
+			d := dispatcher.New(dispatcher.Config{})
+			defer d.Close()
+			call := &conductor.ServiceCall{Key: contractor.NewRequestKey("a", "b"), Method: http.MethodPost, Path: "/book"}
+			response, err := d.CallService(context.Background(), contractor.Upstream{Name: "desk-1", URL: server.URL}, call, 1)
+			if test.body != "" {
+				require.NoError(t, err)
+				require.Equal(t, test.body, string(response.Body))
+				return
+			}
+			got := requireFailure(t, err)
+			require.ErrorIs(t, err, framer.ErrTruncated)
+			require.Equal(t, dispatcher.PartialResponse, got.Phase)
+			require.True(t, got.Crashed)
+		})
+	}
+}
+
 // Guards against reporting an unknown outcome after a failed TLS handshake,
 // where nothing of the call was sent.
 func TestHandshakeFailureIsNotSent(t *testing.T) {
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -1,8 +1,10 @@
 package emulator
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -29,6 +31,12 @@
 	RunnerTruncate
 	// RunnerFail runs the request and responds with status 500.
 	RunnerFail
+	// RunnerUnframed runs the request and sends the response with neither a length nor
+	// chunks; it ends with its connection.
+	RunnerUnframed
+	// RunnerTruncateUnframed is RunnerUnframed and RunnerTruncate. The connection of a plain
+	// response is reset, because nothing else shows that it is truncated.
+	RunnerTruncateUnframed
 )
 
 // RunnerExecution is one execution of a request by a Runner.
@@ -120,6 +128,8 @@
 
 func (r *Runner) respond(w http.ResponseWriter, request *http.Request, fault RunnerFault) {
 	switch {
+	case fault == RunnerUnframed, fault == RunnerTruncateUnframed:
+		r.respondUnframed(w, request, fault == RunnerTruncateUnframed)
 	case fault == RunnerLoseResponse:
 		panic(http.ErrAbortHandler)
 	case fault == RunnerFail:
@@ -159,6 +169,32 @@
 	}
 }
 
+// respondUnframed writes a response that ends with its connection.
+func (r *Runner) respondUnframed(w http.ResponseWriter, request *http.Request, truncate bool) {
+	header := w.Header().Clone()
+	body, plain := "done "+request.URL.Path, r.config.Events == 0
+	if !plain {
+		header.Set("Content-Type", "text/event-stream")
+		body = RunnerStream(r.config.Events)
+	}
+	if truncate {
+		body = body[:len(body)/2+1]
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	if tcp, ok := conn.(*net.TCPConn); ok && truncate && plain {
+		_ = tcp.SetLinger(0) // without it the connection is not reset, and the test that needs it fails
+	}
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = header.Write(&head) // writing to a bytes.Buffer does not fail
+	// An error means that the client has disconnected.
+	_, _ = io.WriteString(conn, head.String()+"\r\n"+body)
+}
+
 // RunnerEvent returns the i-th event of a stream.
 func RunnerEvent(i int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i) }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 	"laburnumline/balancer"
 	"laburnumline/connector"
 	"laburnumline/contractor"
+	"laburnumline/framer"
 	"laburnumline/quarantiner"
 	"laburnumline/recorder"
 	"laburnumline/refuser"
@@ -36,6 +37,7 @@
 	hang        bool // until the context ends
 	notExecuted bool
 	unsigned    bool
+	framing     framer.Framing
 }
 
 // fakeUpstreams is a Sender that returns responses in order and repeats the last one. It
@@ -75,7 +77,7 @@
 		h = http.Header{}
 	}
 	return &connector.Response{
-		Status: r.status, Header: h, Body: body, Length: -1,
+		Status: r.status, Header: h, Body: body, Length: -1, Framing: r.framing,
 		Metadata: connector.Metadata{ID: call.ID, Signed: !r.unsigned, NotRun: r.notExecuted},
 	}, nil
 }
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -172,6 +173,33 @@
 	require.Len(t, f.desk.Executions(), before+1, "a request that may have run is not sent again")
 }
 
+// An upstream crashes while it sends a stream that has neither a length nor chunks. The end
+// of the connection must not pass for the end of the stream.
+func TestTruncatedStreamIsNotComplete(t *testing.T) {
+	f := newFixture(t)
+	f.model.Inject(emulator.RunnerUnframed)
+	f.require("/drafts/1", "k1", 200, emulator.RunnerStream(6))
+	f.model.Inject(emulator.RunnerTruncateUnframed)
+	_, body, err := f.call("/drafts/2", "k1")
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Equal(t, emulator.RunnerStream(strings.Count(body, "id: ")), body, "only complete events are forwarded")
+}
+
+// A response to a caller of HTTP/1.0 ends with its connection. A stream that breaks off must
+// reset the connection, or the caller would take it for complete.
+func TestBrokenStreamResetsConnectionOfHTTP10(t *testing.T) {
+	f := newFixture(t)
+	f.model.Inject(emulator.RunnerTruncate)
+	conn, err := net.Dial("tcp", f.front.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /drafts/1 HTTP/1.0\r\nHost: a.example\r\nAttempt-Id: 77\r\n"+
+		"Authorization: Bearer k1\r\nToken-Usage: 100,50\r\nPrompt-Prefix: aa:60,bb:40\r\n\r\n")
+	require.NoError(t, err)
+	response, err := io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET, "%s", response)
+}
+
 // A new version of the configuration takes effect while the daemon runs. A malformed or an
 // older one in the store must not displace it.
 func TestConfigurationChangesTakeEffectAndBadOnesAreSkipped(t *testing.T) {
