forwarder, dispatcher: a response whose content is truncated is incomplete

Cause: a response with neither a length nor chunks ends with its connection. Reading it, a crash gives io.EOF as a finished answer does; the forwarder then sent on the rest of a torn event and ended its own chunked response as complete. Class: the end of a connection taken for the end of a message. Change: framer.Check, one function for streams and collected responses: a stream that ends inside an event is truncated, whatever its framing; with neither length nor chunks also one without any event, and a JSON document that is not valid. A truncated response is retried, resumed or ends as the failure of a broken connection does. Ends of events with carriage returns are recognised; such streams were held back until their end before. Looked for elsewhere: engine streams of the own interface end with [DONE]; QUIC frames have an explicit end; the clients of the store, the relay, the list of VMs and the administration API decode whole documents and fail on a part. Conclusion: the end of a truncated stream is never forwarded as an end. A stream that breaks off exactly between two events, without a reset, cannot be told from a finished one.

--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -10,6 +10,7 @@
 
 	"laburnumline/conductor"
 	"laburnumline/contractor"
+	"laburnumline/framer"
 )
 
 // HeaderIdempotencyKey carries the request's key to plain services.
@@ -69,9 +70,12 @@
 		return nil, failure
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, d.config.MaxResponseBytes+1))
+	if err == nil && int64(len(body)) <= d.config.MaxResponseBytes {
+		err = framer.Check(framer.Of(resp), resp.Header, body)
+	}
 	if err != nil {
 		failure.Err = err
-		failure.Crashed = closedByPeer(err)
+		failure.Crashed = closedByPeer(err) || errors.Is(err, framer.ErrTruncated)
 		if cause := context.Cause(ctx); cause != nil {
 			failure.Err = cause
 			failure.Crashed = false
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -35,6 +35,9 @@
 	if len(body) > maxResponseBytes {
 		return nil, errResponseTooLong
 	}
+	if err := framer.Check(response.Framing, response.Header, body); err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
 	return &bufferedResponse{status: response.Status, header: response.Header, body: body}, nil
 }
 
@@ -68,26 +71,23 @@
 // forwardStream forwards events as they arrive, each only when it is complete.
 func (x *exchange) forwardStream(response *connector.Response) *failure {
 	var pending []byte
+	started := false
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		complete := completeEventsLength(pending)
-		if errors.Is(err, io.EOF) {
-			if framer.EndsInsideEvent(pending[complete:]) {
-				x.recordBrokenStream(response, framer.ErrTruncated)
-			}
-			complete = len(pending)
-		}
-		if complete > 0 {
+		if complete := framer.CompleteEvents(pending); complete > 0 {
+			started = true
 			if !x.forwardEvents(response, pending[:complete]) {
 				return x.responseFailure(errCallerDisconnected)
 			}
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
-			x.startStream(response)
-			return nil
+			err = framer.CheckStreamEnd(response.Framing, started, pending)
+			if err == nil {
+				return x.endStream(response, pending)
+			}
 		}
 		if err != nil {
 			x.recordBrokenStream(response, err)
@@ -98,6 +98,16 @@
 	}
 }
 
+// endStream forwards what follows the last event of a complete stream, which is blank lines
+// and comments.
+func (x *exchange) endStream(response *connector.Response, rest []byte) *failure {
+	x.startStream(response)
+	if len(rest) > 0 && !x.forwardEvents(response, rest) {
+		return x.responseFailure(errCallerDisconnected)
+	}
+	return nil
+}
+
 func (x *exchange) recordBrokenStream(response *connector.Response, err error) {
 	x.forwarder.config.Recorder.Event(recorder.AnswerBroken, "id", x.request.ID, "last_event", x.lastEventID,
 		"events", x.eventCount, "framing", response.Framing, "err", err)
@@ -142,14 +152,6 @@
 	}
 }
 
-// completeEventsLength returns the length of the complete events at the start of b.
-func completeEventsLength(b []byte) int {
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		return i + 2
-	}
-	return 0
-}
-
 // hopByHopHeaders are meaningful for a single connection only and are not forwarded.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -3,17 +3,20 @@
 // A body with a length or in chunks marks its own end. Any other body ends with its
 // connection, and a crash of the sender then looks like the end of the body. Only its
 // content can show that it was truncated: an event stream consists of events that each end
-// with a blank line, so a stream that ends inside an event is truncated.
+// with a blank line, so a stream that ends inside an event is truncated, and so is a JSON
+// document that is not valid.
 //
-//	if framer.EndsInsideEvent(rest) {
-//		return framer.ErrTruncated
+//	if err := framer.Check(framer.Of(response), response.Header, body); err != nil {
+//		return fmt.Errorf("read response: %w", err)
 //	}
 package framer
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"mime"
 	"net/http"
 	"strings"
 )
@@ -64,6 +67,36 @@
 	return false
 }
 
+// Check returns ErrTruncated if the content of a body shows that it ended too early. A body
+// that ends with its connection is checked more strictly: an event stream must have an event,
+// and a JSON document must be valid.
+func Check(f Framing, h http.Header, body []byte) error {
+	switch {
+	case IsEventStream(h):
+		return CheckStreamEnd(f, len(body) > 0, body[CompleteEvents(body):])
+	case f == ConnectionClose && isJSON(h) && !json.Valid(body):
+		return fmt.Errorf("%w: its document is incomplete", ErrTruncated)
+	}
+	return nil
+}
+
+// CheckStreamEnd returns ErrTruncated if an event stream did not end after an event. The rest is
+// what follows its last complete event.
+func CheckStreamEnd(f Framing, started bool, rest []byte) error {
+	switch {
+	case EndsInsideEvent(rest):
+		return fmt.Errorf("%w: it ends inside an event", ErrTruncated)
+	case f == ConnectionClose && !started:
+		return fmt.Errorf("%w: it has no event", ErrTruncated)
+	}
+	return nil
+}
+
+func isJSON(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
+}
+
 // blankLines are the ends of an event: the end of its last line and a blank line. Lines end
 // with a line feed, a carriage return, or both.
 var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
