launcher: a broken stream resets the connection of a caller of HTTP/1.0

What callers saw: nothing was reported; found by looking for the cause of the truncated streams on the way to the caller. Cause: a response by HTTP/1.0 has no chunks and ends with its connection. The abort of a broken stream closed the connection as the end of a complete one does, and so did a kill of the daemon. Ruled out: callers of HTTP/1.1, whose chunked response lacks its last chunk; collected responses and those of the own interface, which have a length or end with [DONE]. Change: while a request of HTTP/1.0 is served its connection is set to reset on close; that is taken back when the handler has returned. Event 2405 if the option cannot be set. Conclusion: mended, also when the process is killed, as the kernel resets the connection then.

--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -133,6 +133,17 @@
 	return response.StatusCode, string(body), err
 }
 
+// callHTTP10 requests a stream by HTTP/1.0 and returns all that the daemon sends.
+func (f *fixture) callHTTP10() ([]byte, error) {
+	conn, err := net.Dial("tcp", f.front.Addr().String())
+	require.NoError(f.t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /drafts/1 HTTP/1.0\r\nHost: a.example\r\nAttempt-Id: 77\r\n"+
+		"Authorization: Bearer k1\r\nToken-Usage: 100,50\r\nPrompt-Prefix: aa:60,bb:40\r\n\r\n")
+	require.NoError(f.t, err)
+	return io.ReadAll(conn)
+}
+
 func (f *fixture) require(path, key string, status int, body string) {
 	f.t.Helper()
 	got, text, err := f.call(path, key)
@@ -190,16 +201,18 @@
 func TestBrokenStreamResetsConnectionOfHTTP10(t *testing.T) {
 	f := newFixture(t)
 	f.model.Inject(emulator.RunnerTruncate)
-	conn, err := net.Dial("tcp", f.front.Addr().String())
-	require.NoError(t, err)
-	defer conn.Close()
-	_, err = io.WriteString(conn, "POST /drafts/1 HTTP/1.0\r\nHost: a.example\r\nAttempt-Id: 77\r\n"+
-		"Authorization: Bearer k1\r\nToken-Usage: 100,50\r\nPrompt-Prefix: aa:60,bb:40\r\n\r\n")
-	require.NoError(t, err)
-	response, err := io.ReadAll(conn)
+	response, err := f.callHTTP10()
 	require.ErrorIs(t, err, syscall.ECONNRESET, "%s", response)
 }
 
+// A complete response to a caller of HTTP/1.0 must arrive whole, without a reset.
+func TestCompleteStreamEndsConnectionOfHTTP10(t *testing.T) {
+	f := newFixture(t)
+	response, err := f.callHTTP10()
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(string(response), emulator.RunnerStream(6)), "%s", response)
+}
+
 // A new version of the configuration takes effect while the daemon runs. A malformed or an
 // older one in the store must not displace it.
 func TestConfigurationChangesTakeEffectAndBadOnesAreSkipped(t *testing.T) {
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -69,7 +69,8 @@
 		next.ServeHTTP(w, r)
 	})
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           d.resetIfIncomplete(handler),
+		ConnContext:       withConnection,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout + idleMargin,
 		MaxHeaderBytes:    limits.HeaderBytes,
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -29,6 +29,9 @@
 	AnswerBroken Code = 2403
 	// StreamResumed is logged when a stream resumes at another upstream.
 	StreamResumed Code = 2404
+	// LingerNotSet is logged when a broken response to a caller of HTTP/1.0 cannot be marked by a
+	// reset of its connection.
+	LingerNotSet Code = 2405
 )
 
 var _ = declare(eventNames{
@@ -45,4 +48,5 @@
 	AttemptFailed:      "attempt_failed",
 	AnswerBroken:       "answer_broken",
 	StreamResumed:      "stream_resumed",
+	LingerNotSet:       "linger_not_set",
 })
