forwarder: log which requests and prompt parts an upstream's crash took down

Change: event 2104 upstream_crashed with the request, the upstream, the digest, the events received from that upstream and the IDs of the prompt parts. No decision changes.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -111,6 +111,7 @@
 func (x *exchange) attempt(ctx context.Context, choice balancer.Choice) *failure {
 	f := x.forwarder.config
 	result := balancer.Result{Outcome: balancer.Served}
+	eventsBefore := x.eventCount
 	response, err := f.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
 	var failed *failure
 	if err != nil {
@@ -125,7 +126,7 @@
 	}
 	if failed != nil {
 		if failed.connectionLost && ctx.Err() == nil {
-			x.reportCrash(choice.Upstream.Name, choice.Upstream.Address)
+			x.reportCrash(choice.Upstream, x.eventCount-eventsBefore)
 		}
 		result.Outcome = failed.outcome
 		if ctx.Err() != nil {
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"laburnumline/quarantiner"
+	"laburnumline/recorder"
 	"laburnumline/refuser"
 	"laburnumline/registrar"
 )
@@ -41,22 +43,38 @@
 		WithDetail("the request has crashed the upstreams that ran it")
 }
 
-// reportCrash probes an upstream that lost its connection while it executed the request.
-// If the upstream accepts no connection, the crash is attributed to the request.
-func (x *exchange) reportCrash(name registrar.Name, address netip.AddrPort) {
-	digest, config := x.digest(), x.forwarder.config
+// reportCrash probes an upstream that lost its connection while it executed the request,
+// after a number of events. If the upstream accepts no connection, the crash is attributed
+// to the request.
+func (x *exchange) reportCrash(upstream registrar.Upstream, events int64) {
+	digest, config, parts := x.digest(), x.forwarder.config, x.partIDs()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		if config.Probe(ctx, address) == nil {
+		err := config.Probe(ctx, upstream.Address)
+		if err == nil {
 			return
 		}
+		config.Recorder.Event(recorder.UpstreamCrashed, "id", x.request.ID, "upstream", upstream.Name, "digest", digest,
+			"events", events, "parts", parts, "err", err)
 		now := time.Now()
-		config.Quarantine.Begin(now, digest, string(name))
-		config.Quarantine.End(now, digest, string(name), true)
+		config.Quarantine.Begin(now, digest, string(upstream.Name))
+		config.Quarantine.End(now, digest, string(upstream.Name), true)
 	}()
 }
 
+// partIDs returns the IDs of the prompt parts in hexadecimal.
+func (x *exchange) partIDs() string {
+	var b strings.Builder
+	for i, p := range x.request.PromptParts {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(p.ID, 16))
+	}
+	return b.String()
+}
+
 // probeTimeout limits the probe of an upstream that lost its connection. A live upstream
 // accepts a connection within a few round trips.
 const probeTimeout = 500 * time.Millisecond
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -13,6 +13,9 @@
 	RequestQuarantined Code = 2102
 	// SuspectsNotShared is logged when other daemons were not informed of a crash in time.
 	SuspectsNotShared Code = 2103
+	// UpstreamCrashed is logged for each request whose connection was lost at an upstream that
+	// accepts no connection afterwards.
+	UpstreamCrashed Code = 2104
 	// OrderFailed is logged when an engine fails to execute an order, such as to load a model.
 	OrderFailed Code = 2201
 	// UpstreamListed is logged when the entry of an upstream appears or changes its state.
@@ -40,6 +43,7 @@
 	RequestSuspected:   "request_suspected",
 	RequestQuarantined: "request_quarantined",
 	SuspectsNotShared:  "suspects_not_shared",
+	UpstreamCrashed:    "upstream_crashed",
 	OrderFailed:        "order_failed",
 	UpstreamListed:     "upstream_listed",
 	UpstreamGone:       "upstream_gone",
