--- a/emulator/engine_serve.go
+++ b/emulator/engine_serve.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"io"
 	"log"
 	"net"
@@ -12,26 +13,28 @@
 
 // loopbackServer serves a handler on a loopback address. The zero value is ready to use.
 type loopbackServer struct {
-	mu     sync.Mutex
-	server *http.Server
-	done   chan struct{}
+	mu      sync.Mutex
+	server  *http.Server
+	done    chan struct{}
+	address string // empty until the first start
 }
 
-// serve starts the server and returns its base URL.
+// serve starts the server and returns its base URL. Another start uses the same address.
 func (l *loopbackServer) serve(h http.Handler) (string, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.server != nil {
 		return "", errors.New("emulator: already serving")
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", cmp.Or(l.address, "127.0.0.1:0"))
 	if err != nil {
 		return "", errors.Wrap(err, "emulator: listen")
 	}
+	l.address = listener.Addr().String()
 	l.server = &http.Server{Handler: h, ErrorLog: log.New(io.Discard, "", 0)}
 	l.done = make(chan struct{})
 	go run(l.server, listener, l.done)
-	return "http://" + listener.Addr().String(), nil
+	return "http://" + l.address, nil
 }
 
 func run(server *http.Server, listener net.Listener, done chan struct{}) {
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -52,6 +52,10 @@
 	Events int
 	// EventInterval is the time between two events.
 	EventInterval time.Duration
+	// CrashPart is the ID of a prompt part. The runner crashes when it starts to answer a
+	// request with that part, and is back after CrashDowntime. Empty means no part.
+	CrashPart     string
+	CrashDowntime time.Duration
 }
 
 // Runner is a fake upstream with the HTTP protocol of the users' platform.
@@ -123,9 +127,30 @@
 	})
 	r.mu.Unlock()
 	h.Set("Runner-Signature", "signed by "+r.config.Name)
+	if r.crashesOn(request) {
+		r.crash(w)
+	}
 	r.respond(w, request, fault)
 }
 
+func (r *Runner) crashesOn(request *http.Request) bool {
+	return r.config.CrashPart != "" && strings.Contains(request.Header.Get("Prompt-Prefix"), r.config.CrashPart+":")
+}
+
+// crash sends the header of the response, closes all connections and refuses new ones for
+// CrashDowntime.
+func (r *Runner) crash(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(w).Flush() // an error means that the client has disconnected
+	if r.Close() == nil {
+		time.AfterFunc(r.config.CrashDowntime, func() {
+			// An error means that the address is taken: the runner stays down.
+			_, _ = r.Serve()
+		})
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (r *Runner) respond(w http.ResponseWriter, request *http.Request, fault RunnerFault) {
 	switch {
 	case fault == RunnerUnframed, fault == RunnerTruncateUnframed:
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -43,6 +43,8 @@
 	stop     context.CancelFunc
 	ended    chan error
 	attempts atomic.Int64
+
+	storeAddress string
 }
 
 func listenLoopback(t *testing.T) net.Listener {
@@ -67,8 +69,16 @@
 	f.addUpstream("i-model", "model", f.model)
 	server := httptest.NewServer(f.store.PlatformHandler())
 	t.Cleanup(server.Close)
+	f.storeAddress = server.Listener.Addr().String()
+	f.startDaemon()
+	return f
+}
+
+// startDaemon starts a daemon and waits until it is ready.
+func (f *fixture) startDaemon() {
+	f.t.Helper()
 	store := platform.NewStore(platform.StoreConfig{
-		Address: server.Listener.Addr().String(), CallTimeout: 5 * time.Second,
+		Address: f.storeAddress, CallTimeout: 5 * time.Second,
 		PollTimeout: func() time.Duration { return 200 * time.Millisecond },
 	})
 	listeners := map[netip.AddrPort]net.Listener{addressOf(f.front): f.front, addressOf(f.ready): f.ready}
@@ -83,9 +93,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.ended <- daemon.Run(ctx) }()
-	t.Cleanup(cancel)
-	require.Eventually(t, f.isReady, time.Minute, 10*time.Millisecond)
-	return f
+	f.t.Cleanup(cancel)
+	require.Eventually(f.t, f.isReady, time.Minute, 10*time.Millisecond)
+}
+
+// restartDaemon stops the daemon and starts another one on the same VM.
+func (f *fixture) restartDaemon() {
+	f.t.Helper()
+	f.stop()
+	require.NoError(f.t, <-f.ended)
+	f.front, f.ready = listenLoopback(f.t), listenLoopback(f.t)
+	f.startDaemon()
 }
 
 func (f *fixture) configure(version int, route string) {
@@ -124,6 +142,9 @@
 		request.Header.Set("Token-Usage", "100,50")
 		request.Header.Set("Prompt-Prefix", "aa:60,bb:40")
 	}
+	if strings.HasPrefix(path, "/drafts/crash") {
+		request.Header.Set("Prompt-Prefix", "aa:50,dead:10,"+strconv.FormatInt(f.attempts.Load(), 16)+":40")
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, "", err
@@ -213,6 +234,41 @@
 	require.True(t, strings.HasSuffix(string(response), emulator.RunnerStream(6)), "%s", response)
 }
 
+// crashUpstream sends requests that crash the upstream until one is refused as quarantined. It
+// returns a function that sends another one and reports whether it is refused.
+func (f *fixture) crashUpstream(path func() string) func() bool {
+	f.t.Helper()
+	f.store.RemoveAsOperator("servers/i-model")
+	f.model = emulator.NewRunner(emulator.RunnerConfig{Name: "i-crash", Events: 6, CrashPart: "dead", CrashDowntime: 100 * time.Millisecond})
+	f.addUpstream("i-crash", "model", f.model)
+	refused := func() bool {
+		_, body, _ := f.call(path(), "k1") // an error means that the stream broke off
+		return strings.Contains(body, "quarantined")
+	}
+	require.Eventually(f.t, refused, 30*time.Second, 300*time.Millisecond)
+	return refused
+}
+
+// Requests that are all different but share a prompt part crash the upstream. The daemon has
+// to refuse them, and to go on serving others.
+func TestRequestsWithACrashingPartAreRefused(t *testing.T) {
+	f := newFixture(t)
+	f.crashUpstream(func() string { return fmt.Sprint("/drafts/crash-", f.attempts.Load()) })
+	f.require("/drafts/1", "k1", 200, emulator.RunnerStream(6))
+}
+
+// A quarantine has to outlive the daemon, or each restart would cost further upstreams.
+func TestQuarantineOutlivesTheDaemon(t *testing.T) {
+	f := newFixture(t)
+	refused := f.crashUpstream(func() string { return "/drafts/crash" })
+	f.restartDaemon()
+	before := len(f.model.Executions())
+	for range 5 {
+		require.True(t, refused())
+	}
+	require.Len(t, f.model.Executions(), before)
+}
+
 // A new version of the configuration takes effect while the daemon runs. A malformed or an
 // older one in the store must not displace it.
 func TestConfigurationChangesTakeEffectAndBadOnesAreSkipped(t *testing.T) {
