--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -210,6 +210,7 @@
 		time.Sleep(soundInterval)
 	}
 	time.Sleep(10 * time.Second)
+	synctest.Wait()
 }
 
 // sentAfterFifthCrash returns how many requests that crash upstreams reached one later than
