quarantiner, forwarder: a prompt part that crashes upstreams is quarantined

Cause: the quarantine knew a request by the digest of its whole content. Requests that all differ but share a part were each new to it; three crashes of one digest never came together. Class: a circuit breaker keyed on too narrow an identity. Ruled out: the same request again (37 suspects, 37 digests), upstreams that crash by themselves (the tests reproduce it with nothing else crashing). Change: a part has a record of its own. A crash is attributed to the shared parts (all but the last) of requests that had produced no output for 200 ms there; any output of a request discards the crashes of its parts, in all daemons, as they announce it. Three crashes that nothing refutes within 2 s and one interval of notices quarantine the part; after a minute without a crash one request of the fleet at a time, with a permit of the store, decides. It is checked before each attempt. Notices send the suspects with the most crashes first, and only the latest record of each.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -17,6 +17,7 @@
 package announcer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -135,22 +136,26 @@
 
 const (
 	announcementsPerSuspect = 5
-	// maxSuspects limits the suspects in one notice. They fill less than half a datagram.
-	maxSuspects = 4
+	// maxSuspects limits the suspects in one notice. They fill less than a datagram.
+	maxSuspects = 8
 	// maxPendingSuspects limits the suspects that wait for announcement.
 	maxPendingSuspects = 64
 )
 
-// AnnounceSuspects adds suspects to the next notices. It drops those that exceed
-// maxPendingSuspects.
+// AnnounceSuspects adds suspects to the next notices. A record replaces an earlier one of the
+// same suspect. Those with the most crashes are sent first, and the last ones beyond
+// maxPendingSuspects are dropped.
 func (a *Announcer) AnnounceSuspects(records []quarantiner.Record) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, r := range records {
-		if len(a.pendingSuspects) < maxPendingSuspects {
-			a.pendingSuspects = append(a.pendingSuspects, pendingSuspect{r, announcementsPerSuspect})
-		}
+		a.pendingSuspects = slices.DeleteFunc(a.pendingSuspects, func(p pendingSuspect) bool { return p.record.Digest == r.Digest })
+		a.pendingSuspects = append(a.pendingSuspects, pendingSuspect{r, announcementsPerSuspect})
 	}
+	slices.SortStableFunc(a.pendingSuspects, func(x, y pendingSuspect) int {
+		return cmp.Compare(len(y.record.CrashedUpstreams), len(x.record.CrashedUpstreams))
+	})
+	a.pendingSuspects = a.pendingSuspects[:min(len(a.pendingSuspects), maxPendingSuspects)]
 }
 
 // nextSuspects returns the suspects for the next notice.
@@ -196,10 +201,15 @@
 		}
 		peers := a.config.Peers()
 		a.send(peers)
-		timer.Reset(max(minInterval, time.Duration(len(peers))*intervalPerPeer))
+		timer.Reset(Interval(len(peers)))
 	}
 }
 
+// Interval returns the time between two notices in a fleet with this number of other daemons.
+func Interval(peers int) time.Duration {
+	return max(minInterval, time.Duration(peers)*intervalPerPeer)
+}
+
 func (a *Announcer) send(peers []netip.AddrPort) {
 	loads, placements := a.config.Source.Collect(maxLoads, maxPlacements)
 	suspects := a.nextSuspects()
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -112,6 +112,21 @@
 	require.False(t, a.accept(&Notice{From: 1, Sequence: 9}), "its own")
 }
 
+// After the crash of many upstreams, records of sound parts fill several notices. Those with the
+// most crashes must not wait for them, and only the latest record of a suspect is announced.
+func TestSuspectsWithMostCrashesAreAnnouncedFirst(t *testing.T) {
+	a := &Announcer{}
+	for i := range byte(2 * maxSuspects) {
+		a.AnnounceSuspects([]quarantiner.Record{{Digest: quarantiner.Digest{i}, CrashedUpstreams: []string{"i-1"}}})
+	}
+	worst := quarantiner.Record{Digest: quarantiner.Digest{3}, CrashedUpstreams: []string{"i-1", "i-2"}}
+	a.AnnounceSuspects([]quarantiner.Record{worst})
+	first := a.nextSuspects()
+	require.Len(t, first, maxSuspects)
+	require.Equal(t, worst, first[0])
+	require.Len(t, a.pendingSuspects, 2*maxSuspects)
+}
+
 // Guards against a suspect that stays unknown elsewhere because one datagram was lost.
 func TestSuspectsAreAnnouncedSeveralTimes(t *testing.T) {
 	a := &Announcer{}
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -66,6 +66,7 @@
 	mu         sync.Mutex
 	faults     []RunnerFault
 	executions []RunnerExecution
+	crashes    int
 }
 
 // NewRunner returns a runner. Serve starts it.
@@ -88,6 +89,13 @@
 	return append([]RunnerExecution(nil), r.executions...)
 }
 
+// Crashes returns the number of crashes since the start.
+func (r *Runner) Crashes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
 func (r *Runner) nextFault() RunnerFault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -140,6 +148,9 @@
 // crash sends the header of the response, closes all connections and refuses new ones for
 // CrashDowntime.
 func (r *Runner) crash(w http.ResponseWriter) {
+	r.mu.Lock()
+	r.crashes++
+	r.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
 	_ = http.NewResponseController(w).Flush() // an error means that the client has disconnected
 	if r.Close() == nil {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -34,6 +34,9 @@
 	target := string(x.service.Name)
 	f.Retries.RecordFirstAttempt(x.accountName(), target)
 	for attempt := 1; ; attempt++ {
+		if refusal := x.checkQuarantine(ctx); refusal != nil {
+			return x.finalRefusal(refusal)
+		}
 		now := time.Now()
 		choice, ok := f.Balancer.Choose(now, x.query())
 		if !ok {
@@ -112,6 +115,8 @@
 	f := x.forwarder.config
 	result := balancer.Result{Outcome: balancer.Served}
 	eventsBefore := x.eventCount
+	x.firstOutput, x.served = time.Time{}, false
+	x.permitUpstream = choice.Upstream.Name
 	response, err := f.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
 	var failed *failure
 	if err != nil {
@@ -133,6 +138,9 @@
 			result.Outcome = balancer.Abandoned
 		}
 	}
+	if failed != nil && failed.Phase == retrier.NotSent {
+		x.permitUpstream = ""
+	}
 	f.Balancer.End(time.Now(), &choice, result)
 	return failed
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -12,6 +12,7 @@
 
 	"laburnumline/apportioner"
 	"laburnumline/contractor"
+	"laburnumline/quarantiner"
 	"laburnumline/refuser"
 	"laburnumline/registrar"
 	"laburnumline/resolver"
@@ -37,6 +38,14 @@
 	// upstream may have executed the request.
 	sends, executions int
 	tried             []registrar.Name
+	// permit allows the request although a part of its prompt is suspected of crashing
+	// upstreams. permitUpstream is the upstream that may have executed it last.
+	permit         *quarantiner.Permit
+	permitUpstream registrar.Name
+	// firstOutput is the time of the first output of the current attempt. served is true once
+	// the attempt has shown that the request does not crash its upstream.
+	firstOutput time.Time
+	served      bool
 	// responseStarted is true once a part of a response has been written to the caller.
 	responseStarted bool
 	lastEventID     string
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -118,6 +118,7 @@
 	Sender     Sender
 	Retries    Retries
 	Quarantine Quarantine
+	Permits    Permits
 	// Probe opens a connection to an upstream and closes it.
 	Probe func(ctx context.Context, address netip.AddrPort) error
 	// SetMetadata writes the metadata into the headers of a call.
@@ -177,10 +178,7 @@
 		return
 	}
 	defer x.settle()
-	if refusal := x.checkQuarantine(); refusal != nil {
-		x.writeRefusal(refusal)
-		return
-	}
+	defer x.endPermit()
 	if refusal := x.runAttempts(ctx); refusal != nil {
 		x.writeRefusal(refusal)
 		return
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"laburnumline/connector"
 	"laburnumline/framer"
@@ -63,6 +64,9 @@
 	if err != nil {
 		return x.responseFailure(err)
 	}
+	if response.Status < http.StatusMultipleChoices {
+		x.recordServed(time.Now())
+	}
 	x.startResponse()
 	buffered.write(x.writer)
 	return nil
@@ -101,6 +105,7 @@
 // endStream forwards what follows the last event of a complete stream, which is blank lines
 // and comments.
 func (x *exchange) endStream(response *connector.Response, rest []byte) *failure {
+	x.recordServed(time.Now())
 	x.startStream(response)
 	if len(rest) > 0 && !x.forwardEvents(response, rest) {
 		return x.responseFailure(errCallerDisconnected)
@@ -131,6 +136,7 @@
 func (x *exchange) forwardEvents(response *connector.Response, events []byte) bool {
 	x.startStream(response)
 	x.countEvents(events)
+	x.recordOutput()
 	if _, err := x.writer.Write(events); err != nil {
 		return false
 	}
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -12,17 +13,32 @@
 	"laburnumline/registrar"
 )
 
-// Quarantine blocks requests that have crashed upstreams.
+// Quarantine blocks requests and prompt parts that have crashed upstreams.
 type Quarantine interface {
-	// Empty reports whether no request is known to have crashed an upstream.
+	// Empty reports whether no request or part is known to have crashed an upstream.
 	Empty() bool
 	Check(now time.Time, d quarantiner.Digest) quarantiner.Verdict
 	Begin(now time.Time, d quarantiner.Digest, upstream string)
 	End(now time.Time, d quarantiner.Digest, upstream string, crashed bool)
+	CheckParts(now time.Time, parts []quarantiner.Digest) (quarantiner.Digest, quarantiner.Verdict)
+	PartsCrashed(now time.Time, parts []quarantiner.Digest, upstream string)
+	PartsServed(now time.Time, parts []quarantiner.Digest)
 }
 
-// quarantineRetryAfter is the Retry-After of quarantined requests.
-const quarantineRetryAfter = time.Minute
+// Permits grants the fleet's permits to execute a request with a suspected part.
+type Permits interface {
+	Permit(ctx context.Context, d quarantiner.Digest) (*quarantiner.Permit, error)
+}
+
+const (
+	// quarantineRetryAfter is the Retry-After of quarantined requests.
+	quarantineRetryAfter = time.Minute
+	// permitEndTimeout limits the call to the store that ends a permit.
+	permitEndTimeout = 2 * time.Second
+	// probeTimeout limits the probe of an upstream that lost its connection. A live upstream
+	// accepts a connection within a few round trips.
+	probeTimeout = 500 * time.Millisecond
+)
 
 // digest identifies the content of a request. Retries of the caller have the same digest.
 func (x *exchange) digest() quarantiner.Digest {
@@ -33,21 +49,99 @@
 	return quarantiner.DigestOf(append(content, x.body...))
 }
 
-// checkQuarantine returns a refusal if the request has crashed too many upstreams.
-func (x *exchange) checkQuarantine() *refuser.Refusal {
-	quarantine := x.forwarder.config.Quarantine
-	if quarantine.Empty() || quarantine.Check(time.Now(), x.digest()) != quarantiner.Quarantined {
+// sharedParts returns the digests of the prompt parts that other requests may share: all but
+// the last.
+func (x *exchange) sharedParts() []quarantiner.Digest {
+	parts := x.request.PromptParts
+	if !x.service.Engine || len(parts) < 2 {
 		return nil
 	}
-	return refuser.New(refuser.Quarantined, "check").WithRetryAfter(quarantineRetryAfter).
-		WithDetail("the request has crashed the upstreams that ran it")
+	digests := make([]quarantiner.Digest, 0, len(parts)-1)
+	for _, p := range parts[:len(parts)-1] {
+		digests = append(digests, quarantiner.PartDigest(p.ID))
+	}
+	return digests
+}
+
+// checkQuarantine returns a refusal if the request, or a part of its prompt, has crashed too
+// many upstreams.
+func (x *exchange) checkQuarantine(ctx context.Context) *refuser.Refusal {
+	quarantine, now := x.forwarder.config.Quarantine, time.Now()
+	if quarantine.Empty() {
+		return nil
+	}
+	if quarantine.Check(now, x.digest()) == quarantiner.Quarantined {
+		return quarantineRefusal("the request has crashed the upstreams that ran it")
+	}
+	part, verdict := quarantine.CheckParts(now, x.sharedParts())
+	switch {
+	case verdict == quarantiner.Quarantined:
+		return quarantineRefusal("requests with a part of the prompt have crashed the upstreams that ran them")
+	case verdict == quarantiner.Suspect && x.permit == nil:
+		return x.requestPermit(ctx, part)
+	}
+	return nil
+}
+
+func quarantineRefusal(detail string) *refuser.Refusal {
+	return refuser.New(refuser.Quarantined, "check").WithRetryAfter(quarantineRetryAfter).WithDetail("%s", detail)
+}
+
+// requestPermit obtains the permit to execute a request with a suspected part.
+func (x *exchange) requestPermit(ctx context.Context, part quarantiner.Digest) *refuser.Refusal {
+	permit, err := x.forwarder.config.Permits.Permit(ctx, part)
+	var refusal *refuser.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	if err != nil {
+		return refuser.New(refuser.Internal, "permit").WithCause(err)
+	}
+	x.permit = permit
+	return nil
+}
+
+// endPermit releases the permit. The part is cleared if the request was served.
+func (x *exchange) endPermit() {
+	if x.permit == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), permitEndTimeout)
+	defer cancel()
+	if err := x.permit.End(ctx, string(x.permitUpstream), !x.served && x.permitUpstream != ""); err != nil {
+		x.forwarder.config.Recorder.Event(recorder.QuarantineNotStored, "id", x.request.ID, "err", err)
+	}
+}
+
+// recordOutput refutes crashes that were attributed to the parts of the prompt, once the
+// current attempt has produced output for quarantiner.OutputTime.
+func (x *exchange) recordOutput() {
+	now := time.Now()
+	if x.firstOutput.IsZero() {
+		x.firstOutput = now
+	}
+	if !x.served && now.Sub(x.firstOutput) >= quarantiner.OutputTime {
+		x.recordServed(now)
+	}
+}
+
+// recordServed records that the request did not crash its upstream.
+func (x *exchange) recordServed(now time.Time) {
+	x.served = true
+	if quarantine := x.forwarder.config.Quarantine; !quarantine.Empty() {
+		quarantine.PartsServed(now, x.sharedParts())
+	}
 }
 
 // reportCrash probes an upstream that lost its connection while it executed the request,
 // after a number of events. If the upstream accepts no connection, the crash is attributed
-// to the request.
+// to the request, and to the parts of its prompt unless they have been served.
 func (x *exchange) reportCrash(upstream registrar.Upstream, events int64) {
-	digest, config, parts := x.digest(), x.forwarder.config, x.partIDs()
+	digest, config, id := x.digest(), x.forwarder.config, x.request.ID
+	parts, partIDs := x.sharedParts(), x.partIDs()
+	if x.served {
+		parts = nil
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
@@ -55,11 +149,12 @@
 		if err == nil {
 			return
 		}
-		config.Recorder.Event(recorder.UpstreamCrashed, "id", x.request.ID, "upstream", upstream.Name, "digest", digest,
-			"events", events, "parts", parts, "err", err)
+		config.Recorder.Event(recorder.UpstreamCrashed, "id", id, "upstream", upstream.Name, "digest", digest,
+			"events", events, "suspected", len(parts) > 0, "parts", partIDs, "err", err)
 		now := time.Now()
 		config.Quarantine.Begin(now, digest, string(upstream.Name))
 		config.Quarantine.End(now, digest, string(upstream.Name), true)
+		config.Quarantine.PartsCrashed(now, parts, string(upstream.Name))
 	}()
 }
 
@@ -74,7 +169,3 @@
 	}
 	return b.String()
 }
-
-// probeTimeout limits the probe of an upstream that lost its connection. A live upstream
-// accepts a connection within a few round trips.
-const probeTimeout = 500 * time.Millisecond
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -131,6 +132,7 @@
 	config                  Config
 	incarnation             contractor.Incarnation
 	quarantiner             *quarantiner.Quarantiner
+	quarantineRegistry      *quarantiner.Registry
 	announcer               atomic.Pointer[announcer.Announcer]
 	transferrer             atomic.Pointer[transferrer.Transferrer]
 	activeTable             *resolver.ActiveTable
@@ -190,10 +192,14 @@
 		BatchDelay: func() time.Duration { return coalesceDelay(d.Members(), d.shares.Registered()) },
 	})
 	d.quarantiner = quarantiner.New(quarantiner.Config{
-		MaxCrashes: maxCrashes, SuspicionPeriod: suspectRetention, Broadcast: d.publishSuspects, Recorder: rec,
+		MaxCrashes: maxCrashes, SuspicionPeriod: suspectRetention, RefutationTime: d.refutationTime,
+		Broadcast: d.publishSuspects, Recorder: rec,
 	})
+	d.quarantineRegistry = &quarantiner.Registry{
+		Store: d.store, Local: d.quarantiner, Incarnation: strconv.FormatUint(uint64(d.incarnation), 16), PermitTimeout: permitTimeout,
+	}
 	d.forwarder = forwarder.New(forwarder.Config{
-		Quarantine: d.quarantiner, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dial, address) },
+		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dial, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Sender: d.pool,
 		Retries:     retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
 		SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
@@ -211,8 +217,18 @@
 	maxCrashes = 3
 	// suspectRetention is how long after its last crash a request is kept from upstreams.
 	suspectRetention = time.Minute
+	// minRefutationTime is the least time for output of other requests to refute that a prompt
+	// part crashes upstreams. Sound parts of some load are served within it.
+	minRefutationTime = 2 * time.Second
+	// permitTimeout exceeds the longest request.
+	permitTimeout = time.Minute
 )
 
+// refutationTime includes one interval between the notices in which daemons announce output.
+func (d *Daemon) refutationTime() time.Duration {
+	return minRefutationTime + announcer.Interval(len(d.shares.Peers()))
+}
+
 // publishSuspects announces requests that have crashed upstreams to the other daemons.
 func (d *Daemon) publishSuspects(records []quarantiner.Record) {
 	if a := d.announcer.Load(); a != nil {
--- /dev/null
+++ b/quarantiner/part.go
@@ -0,0 +1,173 @@
+package quarantiner
+
+import (
+	"encoding/binary"
+	"time"
+
+	"laburnumline/recorder"
+)
+
+const (
+	// defaultRefutationTime is the default of Config.RefutationTime.
+	defaultRefutationTime = 2 * time.Second
+	// sameCrash is the time within which several reports of an upstream's crash are one crash.
+	// Upstreams need longer to restart.
+	sameCrash = time.Second
+)
+
+// OutputTime is the time from its first output after which a request has not crashed its
+// upstream. A part crashes an upstream when the output begins.
+const OutputTime = 200 * time.Millisecond
+
+// learned is when a daemon learned of the crashes of a part, by its monotonic clock.
+type learned struct {
+	lifts int
+	first time.Time
+	last  map[string]time.Time // by upstream
+}
+
+// partMarker distinguishes the digests of parts from those of requests.
+var partMarker = [8]byte{'p', 'a', 'r', 't'}
+
+// PartDigest returns the digest of a prompt part.
+func PartDigest(id uint64) Digest {
+	var d Digest
+	copy(d[:], partMarker[:])
+	binary.BigEndian.PutUint64(d[len(partMarker):], id)
+	return d
+}
+
+// partVerdict returns Quarantined for a part that crashed MaxCrashes upstreams without any
+// output in between. Once SuspicionPeriod has passed without a crash, one request at a time
+// may be executed with a permit.
+func (q *Quarantiner) partVerdict(now time.Time, r *Record, recent bool) Verdict {
+	if len(r.CrashedUpstreams) < q.config.MaxCrashes || !r.Confirmed && !q.refutationEnded(now, r.Digest) {
+		return Clear
+	}
+	if recent {
+		return Quarantined
+	}
+	return Suspect
+}
+
+// refutationEnded reports whether RefutationTime has passed since the first crash of a part.
+func (q *Quarantiner) refutationEnded(now time.Time, d Digest) bool {
+	l := q.learned[d]
+	return l != nil && now.Sub(l.first) >= q.config.RefutationTime()
+}
+
+// CheckParts returns the strictest verdict on the parts of a request, and the digest that it is
+// about.
+func (q *Quarantiner) CheckParts(now time.Time, parts []Digest) (Digest, Verdict) {
+	worst, verdict := Digest{}, Clear
+	for _, d := range parts {
+		if v := q.checkPart(now, d); v > verdict {
+			worst, verdict = d, v
+		}
+	}
+	return worst, verdict
+}
+
+// checkPart returns the verdict on a part. The daemon that quarantines a part first announces it.
+func (q *Quarantiner) checkPart(now time.Time, d Digest) Verdict {
+	q.mu.Lock()
+	record, ok := q.records[d]
+	if !ok {
+		q.mu.Unlock()
+		return Clear
+	}
+	verdict := q.verdict(now, &record)
+	first := verdict != Clear && !record.Confirmed
+	if first {
+		record.Confirmed = true
+		q.put(now, record)
+	}
+	q.mu.Unlock()
+	if first {
+		q.announcePart(record, verdict)
+	}
+	return verdict
+}
+
+func (q *Quarantiner) announcePart(r Record, v Verdict) {
+	q.config.Recorder.Event(recorder.PartQuarantined, "digest", r.Digest, "victims", len(r.CrashedUpstreams), "upstreams", r.CrashedUpstreams)
+	q.config.Publish(r.Digest, v)
+	q.config.Broadcast([]Record{r})
+}
+
+// PartsCrashed attributes the crash of an upstream to the parts of a request that it executed
+// and that had produced no output for OutputTime.
+func (q *Quarantiner) PartsCrashed(now time.Time, parts []Digest, upstream string) {
+	var changed []Record
+	q.mu.Lock()
+	for _, d := range parts {
+		if l := q.learned[d]; l != nil && now.Sub(l.last[upstream]) < sameCrash {
+			continue
+		}
+		record := q.records[d]
+		record.Part = true
+		q.records[d] = record
+		record = q.addCrash(now, d, upstream)
+		q.learn(now, &record)
+		q.learned[d].last[upstream] = now
+		changed = append(changed, record)
+	}
+	q.mu.Unlock()
+	if len(changed) > 0 {
+		q.config.Broadcast(changed)
+	}
+}
+
+// learn records when the daemon learned of the crashes of a part.
+func (q *Quarantiner) learn(now time.Time, r *Record) {
+	if !r.Part {
+		return
+	}
+	if len(r.CrashedUpstreams) == 0 {
+		delete(q.learned, r.Digest)
+		return
+	}
+	l := q.learned[r.Digest]
+	if l == nil || l.lifts != r.Lifts {
+		l = &learned{lifts: r.Lifts, first: now, last: make(map[string]time.Time)}
+		q.learned[r.Digest] = l
+	}
+	known := q.records[r.Digest].CrashedUpstreams
+	for _, upstream := range r.CrashedUpstreams {
+		if _, ok := l.last[upstream]; !ok || count(r.CrashedUpstreams, upstream) > count(known, upstream) {
+			l.last[upstream] = now
+		}
+	}
+}
+
+// PartsServed records that a request has produced output for OutputTime, or completely. It
+// refutes the crashes that were attributed to its parts.
+func (q *Quarantiner) PartsServed(now time.Time, parts []Digest) {
+	var changed []Record
+	q.mu.Lock()
+	for _, d := range parts {
+		record := q.records[d]
+		if len(record.CrashedUpstreams) == 0 {
+			continue
+		}
+		q.discardCrashes(now, &record)
+		changed = append(changed, record)
+	}
+	q.mu.Unlock()
+	if len(changed) > 0 {
+		q.config.Recorder.Count("quarantine.refuted", int64(len(changed)))
+		go q.config.Broadcast(changed)
+	}
+}
+
+// discardCrashes discards the crashes of a part. A quarantine that was announced is lifted.
+func (q *Quarantiner) discardCrashes(now time.Time, r *Record) {
+	announced := r.Confirmed
+	*r = Record{Digest: r.Digest, Part: true, Version: r.Version, Lifts: r.Lifts + 1}
+	q.learn(now, r)
+	q.put(now, *r)
+	if announced {
+		q.config.Recorder.Event(recorder.PartCleared, "digest", r.Digest)
+		go q.config.Publish(r.Digest, Clear)
+	}
+}
--- /dev/null
+++ b/quarantiner/part_test.go
@@ -0,0 +1,138 @@
+package quarantiner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const shared, crashing = 1, 2
+
+func partDigests(ids ...uint64) []Digest {
+	var list []Digest
+	for _, id := range ids {
+		list = append(list, PartDigest(id))
+	}
+	return list
+}
+
+// crashTimes reports crashes of different upstreams at these times after start, with both parts.
+func crashTimes(q *Quarantiner, times ...time.Duration) {
+	for i, at := range times {
+		q.PartsCrashed(start.Add(at), partDigests(shared, crashing), fmt.Sprint("i-", i))
+	}
+}
+
+// A part may only be blamed for crashes that no output refutes, that are not one crash seen
+// several times, and that other requests had time to refute.
+func TestVerdictOnParts(t *testing.T) {
+	q := func() *Quarantiner { return New(Config{SuspicionPeriod: time.Minute}) }
+	tests := []struct {
+		name   string
+		events func(q *Quarantiner)
+		after  time.Duration
+		want   Verdict
+	}{
+		{"two crashes", func(q *Quarantiner) { crashTimes(q, 0, time.Second) }, 10 * time.Second, Clear},
+		{"three crashes", func(q *Quarantiner) { crashTimes(q, 0, time.Second, 2*time.Second) }, 3 * time.Second, Quarantined},
+		{"three crashes at once", func(q *Quarantiner) { crashTimes(q, 0, 0, 0) }, time.Second, Clear},
+		{"three crashes at once, not refuted", func(q *Quarantiner) { crashTimes(q, 0, 0, 0) }, 2 * time.Second, Quarantined},
+		{"output after the second crash", func(q *Quarantiner) {
+			crashTimes(q, 0, time.Second)
+			q.PartsServed(start.Add(1500*time.Millisecond), partDigests(crashing))
+			q.PartsCrashed(start.Add(2*time.Second), partDigests(crashing), "i-2")
+		}, 10 * time.Second, Clear},
+		{"output while quarantined", func(q *Quarantiner) {
+			crashTimes(q, 0, time.Second, 2*time.Second)
+			q.CheckParts(start.Add(3*time.Second), partDigests(crashing))
+			q.PartsServed(start.Add(4*time.Second), partDigests(crashing))
+		}, 5 * time.Second, Clear},
+		{"one crash that three requests report", func(q *Quarantiner) {
+			for range 3 {
+				q.PartsCrashed(start, partDigests(crashing), "i-0")
+			}
+		}, 10 * time.Second, Clear},
+		{"one upstream that crashes again and again", func(q *Quarantiner) {
+			for i := range time.Duration(3) {
+				q.PartsCrashed(start.Add(i*2*time.Second), partDigests(crashing), "i-0")
+			}
+		}, 10 * time.Second, Quarantined},
+		{"no crash for the suspicion period", func(q *Quarantiner) { crashTimes(q, 0, time.Second, 2*time.Second) }, 2 * time.Minute, Suspect},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := q()
+			tt.events(q)
+			_, verdict := q.CheckParts(start.Add(tt.after), partDigests(7, crashing))
+			require.Equal(t, tt.want, verdict)
+			_, verdict = q.CheckParts(start.Add(tt.after), partDigests(7, 8))
+			require.Equal(t, Clear, verdict)
+		})
+	}
+}
+
+// Each daemon sees only the crashes and the output of its own requests. Their records have to
+// add up to a quarantine, and output at one daemon must end the suspicion at all.
+func TestDaemonsCombineWhatTheyKnowOfParts(t *testing.T) {
+	fleet := make([]*Quarantiner, 4)
+	for i := range fleet {
+		fleet[i] = New(Config{SuspicionPeriod: time.Minute, Broadcast: func(records []Record) {
+			for j, other := range fleet {
+				if j != i {
+					other.Merge(start, records)
+				}
+			}
+		}})
+	}
+	for i := range 3 {
+		fleet[i].PartsCrashed(start, partDigests(shared, crashing), fmt.Sprint("i-", i))
+	}
+	done := make(chan struct{})
+	broadcast := fleet[3].config.Broadcast
+	fleet[3].config.Broadcast = func(records []Record) { broadcast(records); close(done) }
+	fleet[3].PartsServed(start, partDigests(shared))
+	<-done
+	for _, q := range fleet {
+		_, verdict := q.CheckParts(start.Add(3*time.Second), partDigests(crashing))
+		require.Equal(t, Quarantined, verdict)
+		_, verdict = q.CheckParts(start.Add(3*time.Second), partDigests(shared))
+		require.Equal(t, Clear, verdict)
+	}
+}
+
+// A quarantined part that was blamed wrongly gets one request of the fleet at a time, and is
+// cleared in the store when that is served. If it crashes its upstream, the part stays
+// quarantined.
+func TestPermittedRequestDecidesOnThePart(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		t.Run(fmt.Sprint("crash ", crash), func(t *testing.T) {
+			registries, _, now := newRegistries(2)
+			a, b, part := registries[0], registries[1], PartDigest(crashing)
+			a.Local.PartsCrashed(*now, []Digest{part}, "i-0")
+			a.Local.PartsCrashed(*now, []Digest{part}, "i-1")
+			a.Local.PartsCrashed(*now, []Digest{part}, "i-2")
+			require.NoError(t, a.Report(t.Context(), part))
+			*now = now.Add(defaultSuspicionPeriod + time.Minute)
+			require.Equal(t, Suspect, a.Local.checkPart(*now, part))
+			permit, err := a.Permit(t.Context(), part)
+			require.NoError(t, err)
+			_, err = b.Permit(t.Context(), part)
+			requireNotExecuted(t, err)
+			if crash {
+				a.Local.PartsCrashed(*now, []Digest{part}, "i-3")
+			} else {
+				a.Local.PartsServed(*now, []Digest{part})
+			}
+			require.NoError(t, permit.End(t.Context(), "i-3", crash))
+			require.NoError(t, b.Load(t.Context()))
+			want := Clear
+			if crash {
+				want = Quarantined
+			}
+			require.Equal(t, want, a.Local.checkPart(*now, part))
+			require.Equal(t, want, b.Local.checkPart(*now, part))
+		})
+	}
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,4 +1,4 @@
-// Package quarantiner blocks requests that crash upstreams.
+// Package quarantiner blocks requests and prompt parts that crash upstreams.
 //
 // A request is identified by the digest of its content, which a new idempotency key does
 // not change. When an upstream crashes, the crash is attributed to every request in flight
@@ -24,6 +24,11 @@
 // did not reach. It is at most one per daemon because a daemon executes equal requests at
 // the same upstream; see RunningAt.
 //
+// Requests that are all different may share a prompt part that crashes upstreams. A part has
+// a record as a request has, with other rules, because sound requests share most parts: a
+// crash is attributed to the parts of all requests that had produced no output there, and any
+// output refutes all crashes that were attributed to the parts of its request. See part.go.
+//
 // Quarantiner is the state of one daemon and does no I/O. Registry accesses the store, and
 // Broadcaster sends crashes to the other daemons.
 //
@@ -88,8 +93,13 @@
 	PermitHolder string `cbor:"8,keyasint,omitempty"`
 	// PermitGranted is when the permit was granted, in seconds since the Unix epoch.
 	PermitGranted int64 `cbor:"9,keyasint,omitempty"`
-	// Lifts is the number of times that an operator lifted the quarantine.
+	// Lifts is the number of times that the crashes were discarded: by an operator who lifted
+	// the quarantine, or for a part by output of a request.
 	Lifts int `cbor:"10,keyasint,omitempty"`
+	// Part is true for a prompt part, and false for a request.
+	Part bool `cbor:"11,keyasint,omitempty"`
+	// Confirmed is true for a part that a daemon has quarantined.
+	Confirmed bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Config holds the settings of a Quarantiner. Zero values mean the defaults.
@@ -104,6 +114,10 @@
 	MaxCrashes int
 	// SuspicionPeriod is how long a request stays a suspect without a further crash.
 	SuspicionPeriod time.Duration
+	// RefutationTime returns how long after its first crash a part is not quarantined yet, so
+	// that output of other requests can refute that the part is the cause. It covers the crash
+	// of many upstreams at the same moment, and the time until other daemons announce output.
+	RefutationTime func() time.Duration
 	// MaxRecords is the number of records above which those with verdict Clear are dropped.
 	MaxRecords int
 	// Recorder counts verdicts. Nil discards them.
@@ -132,6 +146,9 @@
 	if c.SuspicionPeriod <= 0 {
 		c.SuspicionPeriod = defaultSuspicionPeriod
 	}
+	if c.RefutationTime == nil {
+		c.RefutationTime = func() time.Duration { return defaultRefutationTime }
+	}
 	if c.MaxRecords <= 0 {
 		c.MaxRecords = defaultMaxRecords
 	}
@@ -159,6 +176,8 @@
 	attributed map[execution]int
 	// permitHeld holds the digests that this daemon executes with a permit.
 	permitHeld map[Digest]bool
+	// learned holds when this daemon learned of the crashes of parts.
+	learned map[Digest]*learned
 }
 
 // New returns a quarantiner without records.
@@ -171,6 +190,7 @@
 		attributed: make(map[execution]int),
 
 		permitHeld: make(map[Digest]bool),
+		learned:    make(map[Digest]*learned),
 	}
 }
 
@@ -188,6 +208,8 @@
 func (q *Quarantiner) verdict(now time.Time, r *Record) Verdict {
 	recent := now.Unix()-r.LastCrash <= int64(q.config.SuspicionPeriod.Seconds())
 	switch {
+	case r.Part:
+		return q.partVerdict(now, r, recent)
 	case len(r.CrashedUpstreams) >= q.config.MaxCrashes && (recent || r.ExclusiveCrashes > 0):
 		return Quarantined
 	case len(r.CrashedUpstreams) >= q.config.MaxCrashes:
@@ -314,6 +336,7 @@
 	for d, r := range q.records {
 		if q.verdict(now, &r) == Clear {
 			delete(q.records, d)
+			delete(q.learned, d)
 		}
 	}
 }
@@ -334,7 +357,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, r := range records {
-		q.put(now, merge(q.records[r.Digest], r))
+		merged := merge(q.records[r.Digest], r)
+		q.learn(now, &merged)
+		q.put(now, merged)
 	}
 }
 
@@ -347,6 +372,7 @@
 	if a.Lifts < b.Lifts {
 		return b
 	}
+	b.Part, b.Confirmed = a.Part || b.Part, a.Confirmed || b.Confirmed
 	before := len(b.CrashedUpstreams)
 	b.CrashedUpstreams = mergeCrashes(b.CrashedUpstreams, a.CrashedUpstreams)
 	if len(b.CrashedUpstreams) > before {
--- a/quarantiner/registry.go
+++ b/quarantiner/registry.go
@@ -140,6 +140,8 @@
 		if p.Exclusive {
 			record.ExclusiveCrashes++
 		}
+	case upstream != "" && record.Part:
+		record = Record{Digest: record.Digest, Part: true, Version: record.Version, Lifts: record.Lifts + 1}
 	case upstream != "":
 		record.Cleared = record.PermittedSuccesses == 0 && record.ExclusiveCrashes == 0
 		record.PermittedSuccesses++
@@ -165,7 +167,7 @@
 		}
 		record := merge(local, stored)
 		record.Digest = d
-		if len(record.CrashedUpstreams) == len(stored.CrashedUpstreams) {
+		if len(record.CrashedUpstreams) == len(stored.CrashedUpstreams) && record.Lifts == stored.Lifts {
 			return nil
 		}
 		_, err = r.write(ctx, &record, revision)
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -16,6 +16,12 @@
 	// UpstreamCrashed is logged for each request whose connection was lost at an upstream that
 	// accepts no connection afterwards.
 	UpstreamCrashed Code = 2104
+	// PartQuarantined is logged by the daemon that quarantines a prompt part first.
+	PartQuarantined Code = 2105
+	// PartCleared is logged when a request with a quarantined prompt part has been served.
+	PartCleared Code = 2106
+	// QuarantineNotStored is logged when a quarantine cannot be written to the store.
+	QuarantineNotStored Code = 2107
 	// OrderFailed is logged when an engine fails to execute an order, such as to load a model.
 	OrderFailed Code = 2201
 	// UpstreamListed is logged when the entry of an upstream appears or changes its state.
@@ -38,19 +44,22 @@
 )
 
 var _ = declare(eventNames{
-	UpstreamEjected:    "upstream_ejected",
-	UpstreamRecovered:  "upstream_recovered",
-	RequestSuspected:   "request_suspected",
-	RequestQuarantined: "request_quarantined",
-	SuspectsNotShared:  "suspects_not_shared",
-	UpstreamCrashed:    "upstream_crashed",
-	OrderFailed:        "order_failed",
-	UpstreamListed:     "upstream_listed",
-	UpstreamGone:       "upstream_gone",
-	EntrySkipped:       "entry_skipped",
-	RequestRefused:     "request_refused",
-	AttemptFailed:      "attempt_failed",
-	AnswerBroken:       "answer_broken",
-	StreamResumed:      "stream_resumed",
-	LingerNotSet:       "linger_not_set",
+	UpstreamEjected:     "upstream_ejected",
+	UpstreamRecovered:   "upstream_recovered",
+	RequestSuspected:    "request_suspected",
+	RequestQuarantined:  "request_quarantined",
+	SuspectsNotShared:   "suspects_not_shared",
+	UpstreamCrashed:     "upstream_crashed",
+	PartQuarantined:     "part_quarantined",
+	PartCleared:         "part_cleared",
+	QuarantineNotStored: "quarantine_not_stored",
+	OrderFailed:         "order_failed",
+	UpstreamListed:      "upstream_listed",
+	UpstreamGone:        "upstream_gone",
+	EntrySkipped:        "entry_skipped",
+	RequestRefused:      "request_refused",
+	AttemptFailed:       "attempt_failed",
+	AnswerBroken:        "answer_broken",
+	StreamResumed:       "stream_resumed",
+	LingerNotSet:        "linger_not_set",
 })
