executor: a prompt prefix that crashes engines is quarantined

Cause: as for prompt parts on the users' platform: the digest of the whole request was the only identity. Change: the digests of a prompt's blocks (up to 64 blocks of 256 bytes, without the last) are its parts. They are checked before each attempt, blamed when an engine closes the connection before output, and cleared by output. A quarantined part is stored by Registry.Persist, which repeats Report until the store has it; the daemons load and watch these records already. Conclusion: mended for prefixes of up to 16 KiB; text that crashes engines only in the middle of different prompts is not recognised here, as nothing names it.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -302,13 +302,17 @@
 	d.router = router.New(router.Config{Zone: d.self.Zone, Seed: uint64(d.self.Incarnation), Recorder: d.recorder})
 	d.openLimits()
 	broadcaster := &quarantiner.Broadcaster{Members: d.tracker, Caller: d.caller, Recorder: d.recorder}
-	d.quarantiner = quarantiner.New(quarantiner.Config{Broadcast: broadcaster.Broadcast, Recorder: d.recorder})
+	d.quarantiner = quarantiner.New(quarantiner.Config{
+		StorePart: func(part quarantiner.Digest) { go d.registry.Persist(d.lifetime.ctx, part) },
+		Broadcast: broadcaster.Broadcast, Recorder: d.recorder,
+	})
 	quarantiner.Handle(d.mux, d.quarantiner)
 	d.registry = &quarantiner.Registry{
 		Store:         d.store,
 		Local:         d.quarantiner,
 		Incarnation:   d.self.String(),
 		PermitTimeout: d.settings.Budgets.LongestRequest,
+		Recorder:      d.recorder,
 	}
 	d.dispatcher = dispatcher.New(dispatcher.Config{Recorder: d.recorder})
 	d.observer = observer.New(observer.Config{
--- a/executor/complete.go
+++ b/executor/complete.go
@@ -29,10 +29,12 @@
 
 // completion is the state of one engine call.
 type completion struct {
-	request     *conductor.Completion
-	sink        conductor.Sink
-	query       router.Query
-	digest      quarantiner.Digest
+	request *conductor.Completion
+	sink    conductor.Sink
+	query   router.Query
+	digest  quarantiner.Digest
+	// parts are the digests of the prefixes of the prompt that other requests may share.
+	parts       []quarantiner.Digest
 	reservation reserver.Reservation
 	maxOutput   contractor.Tokens
 	// delivered is the number of output tokens that the caller has received.
@@ -43,6 +45,8 @@
 	admissionPriority int
 	// admissionOutcome is the result of the last attempt for the limiter.
 	admissionOutcome limiter.Outcome
+	// served is true once the current attempt has shown that it does not crash its upstream.
+	served bool
 	// sent is true once an upstream may have executed the request.
 	sent    bool
 	attempt int
@@ -55,7 +59,9 @@
 	if err != nil {
 		return conductor.Usage{}, err
 	}
-	c := &completion{request: request, sink: sink, digest: quarantiner.DigestOf(request.Body), started: time.Now()}
+	c := &completion{
+		request: request, sink: sink, digest: quarantiner.DigestOf(request.Body), parts: sharedParts(request.PrefixDigests), started: time.Now(),
+	}
 	if err := x.checkQuarantine(c); err != nil {
 		return conductor.Usage{}, err
 	}
@@ -91,6 +97,9 @@
 	if verdict == quarantiner.Quarantined {
 		return refuser.New(refuser.Quarantined, "quarantine").WithDetail("this request has crashed the upstreams that ran it")
 	}
+	if _, verdict := x.config.Quarantine.CheckParts(c.started, c.parts); verdict == quarantiner.Quarantined {
+		return refuser.New(refuser.Quarantined, "quarantine").WithDetail("requests with this beginning of the prompt have crashed the upstreams that ran them")
+	}
 	return nil
 }
 
@@ -166,10 +175,15 @@
 	}
 }
 
+// permits are the permits of one attempt: for the request, and for a prefix of its prompt.
+type permits struct {
+	request, part *quarantiner.Permit
+}
+
 // runAttempt sends the request to one upstream. The stream starts at the first token
 // that the caller has not received.
 func (x *Executor) runAttempt(ctx context.Context, c *completion) error {
-	permit, err := x.requestPermit(ctx, c)
+	p, err := x.requestPermits(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -182,23 +196,27 @@
 		MaxOutput:    c.maxOutput,
 		Priority:     c.admissionPriority,
 		Exclude:      c.query.Exclude,
-		Exclusive:    permit != nil && permit.Exclusive,
-		AntiAffinity: permit != nil && !permit.Exclusive,
+		Exclusive:    p.request != nil && p.request.Exclusive,
+		AntiAffinity: p.request != nil && !p.request.Exclusive,
 	}
 	if running, ok := x.config.Quarantine.RunningAt(c.digest); ok {
 		c.query.Pin = running
 	}
 	choice, err := x.config.Routes.Choose(time.Now(), c.query)
 	if err != nil {
-		x.endPermit(permit, "", false)
+		x.endPermits(p, "", false)
 		return err
 	}
 	name := choice.Upstream.Name
 	x.config.Quarantine.Begin(time.Now(), c.digest, name)
 	firstToken, err := x.stream(ctx, c, choice.Upstream)
-	x.config.Quarantine.End(time.Now(), c.digest, name, crashedWithRequest(err))
-	x.reportCrash(c, permit, crashedWithRequest(err))
-	x.endPermit(permit, name, crashedWithRequest(err))
+	crashed := crashedWithRequest(err)
+	x.config.Quarantine.End(time.Now(), c.digest, name, crashed)
+	if crashed && !c.served {
+		x.config.Quarantine.PartsCrashed(time.Now(), c.parts, name)
+	}
+	x.reportCrash(c, p.request, crashed)
+	x.endPermits(p, name, crashed)
 	x.config.Routes.Finish(time.Now(), name, c.query, routeOutcome(ctx, err), firstToken)
 	c.admissionOutcome = limiter.Outcome{TimeToFirstToken: firstToken, Overloaded: overloaded(err)}
 	if err != nil {
@@ -207,14 +225,30 @@
 	return err
 }
 
-// requestPermit obtains the permit to run a suspected request. It returns nil for a
-// request that is not suspected and refuses a quarantined one.
-func (x *Executor) requestPermit(ctx context.Context, c *completion) (*quarantiner.Permit, error) {
-	switch x.config.Quarantine.Check(time.Now(), c.digest) {
+// requestPermits obtains the permits to run a suspected request. It refuses a quarantined
+// one.
+func (x *Executor) requestPermits(ctx context.Context, c *completion) (permits, error) {
+	now := time.Now()
+	part, verdict := x.config.Quarantine.CheckParts(now, c.parts)
+	partPermit, err := x.requestPermit(ctx, c, part, verdict)
+	if err != nil {
+		return permits{}, err
+	}
+	requestPermit, err := x.requestPermit(ctx, c, c.digest, x.config.Quarantine.Check(now, c.digest))
+	if err != nil {
+		x.endPermit(partPermit, "", false)
+		return permits{}, err
+	}
+	return permits{request: requestPermit, part: partPermit}, nil
+}
+
+// requestPermit returns nil if no permit is needed.
+func (x *Executor) requestPermit(ctx context.Context, c *completion, d quarantiner.Digest, v quarantiner.Verdict) (*quarantiner.Permit, error) {
+	switch v {
 	case quarantiner.Quarantined:
 		return nil, c.newRefusal(refuser.Quarantined, "quarantine", nil)
 	case quarantiner.Suspect:
-		permit, err := x.config.Permits.Permit(ctx, c.digest)
+		permit, err := x.config.Permits.Permit(ctx, d)
 		if err != nil {
 			return nil, c.withExecution(err)
 		}
@@ -223,6 +257,11 @@
 	return nil, nil
 }
 
+func (x *Executor) endPermits(p permits, upstream string, crashed bool) {
+	x.endPermit(p.request, upstream, crashed)
+	x.endPermit(p.part, upstream, crashed)
+}
+
 // reportCrash records in the store that the request crashed an upstream, unless it ran
 // with a permit; endPermit records the crash then. It runs before the next attempt, so that
 // every daemon knows of the crash by then.
@@ -252,6 +291,7 @@
 // token.
 func (x *Executor) stream(ctx context.Context, c *completion, u contractor.Upstream) (time.Duration, error) {
 	start := time.Now()
+	c.served = false
 	stream, err := x.config.Upstreams.CallEngine(ctx, dispatcher.EngineCall{
 		Upstream:     u,
 		Key:          c.request.Key,
@@ -276,6 +316,7 @@
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			c.usage = stream.Usage()
+			x.recordServed(c)
 			return firstToken, nil
 		}
 		if err != nil {
@@ -284,12 +325,36 @@
 		if firstToken == 0 {
 			firstToken = time.Since(start)
 		}
+		if time.Since(start)-firstToken >= quarantiner.OutputTime {
+			x.recordServed(c)
+		}
 		if err := c.deliver(chunk); err != nil {
 			return firstToken, err
 		}
 	}
 }
 
+// recordServed records that the current attempt does not crash its upstream.
+func (x *Executor) recordServed(c *completion) {
+	if !c.served {
+		c.served = true
+		x.config.Quarantine.PartsServed(time.Now(), c.parts)
+	}
+}
+
+// maxPrefixParts limits the prefixes of a prompt that are watched for crashes: 16 KiB of text.
+const maxPrefixParts = 64
+
+// sharedParts returns the digests of the prefixes of a prompt, without the whole prompt.
+func sharedParts(prefixDigests []uint64) []quarantiner.Digest {
+	n := min(max(len(prefixDigests)-1, 0), maxPrefixParts)
+	parts := make([]quarantiner.Digest, n)
+	for i, id := range prefixDigests[:n] {
+		parts[i] = quarantiner.PartDigest(id)
+	}
+	return parts
+}
+
 // enginePriority returns the priority for the engine, which runs lower values first. The
 // caller's priority orders requests only among accounts below their share, or among those
 // above it.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -61,7 +61,7 @@
 	Decide(now time.Time, account contractor.Account, target string, attempt int, deadline time.Time, f retrier.Failure) retrier.Decision
 }
 
-// Quarantine identifies requests that crash upstreams.
+// Quarantine identifies requests and prompt prefixes that crash upstreams.
 type Quarantine interface {
 	Check(now time.Time, d quarantiner.Digest) quarantiner.Verdict
 	// RunningAt returns the upstream at which a request with the digest is in flight.
@@ -70,6 +70,9 @@
 	RunningAt(d quarantiner.Digest) (string, bool)
 	Begin(now time.Time, d quarantiner.Digest, upstream string)
 	End(now time.Time, d quarantiner.Digest, upstream string, crashed bool)
+	CheckParts(now time.Time, parts []quarantiner.Digest) (quarantiner.Digest, quarantiner.Verdict)
+	PartsCrashed(now time.Time, parts []quarantiner.Digest, upstream string)
+	PartsServed(now time.Time, parts []quarantiner.Digest)
 }
 
 // Permits issues the fleet's permits to run requests suspected of crashing upstreams, and
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -253,7 +253,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					f := newCrashFleet(t, tt.daemons, tt.upstreams)
 					f.play(tt.path, 50*time.Second, tt.crashInterval, rand.New(rand.NewPCG(seed, 1)))
-					t.Logf("seed %d: %d crashes, others: %v, %d aborted", seed, len(f.crashes), f.statuses, f.aborted)
+					t.Logf("seed %d: %d crashes, %d sent too late, others: %v, %d aborted", seed, len(f.crashes), f.sentAfterFifthCrash(stable), f.statuses, f.aborted)
 					require.GreaterOrEqual(t, len(f.crashes), 3)
 					require.LessOrEqual(t, f.sentAfterFifthCrash(stable), maxSentAfter)
 					require.Zero(t, f.blamed)
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -84,14 +84,14 @@
 	}
 	q.mu.Unlock()
 	if first {
-		q.announcePart(record, verdict)
+		q.announcePart(record)
 	}
 	return verdict
 }
 
-func (q *Quarantiner) announcePart(r Record, v Verdict) {
+func (q *Quarantiner) announcePart(r Record) {
 	q.config.Recorder.Event(recorder.PartQuarantined, "digest", r.Digest, "victims", len(r.CrashedUpstreams), "upstreams", r.CrashedUpstreams)
-	q.config.Publish(r.Digest, v)
+	q.config.StorePart(r.Digest)
 	q.config.Broadcast([]Record{r})
 }
 
@@ -168,6 +168,6 @@
 	q.put(now, *r)
 	if announced {
 		q.config.Recorder.Event(recorder.PartCleared, "digest", r.Digest)
-		go q.config.Publish(r.Digest, Clear)
+		q.config.StorePart(r.Digest)
 	}
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -107,6 +107,9 @@
 	// Publish announces a changed verdict to the other daemons. End returns after Publish,
 	// so that a caller that gets its response after End cannot retry before they know.
 	Publish func(Digest, Verdict)
+	// StorePart stores the record of a part that is quarantined or no longer quarantined. It
+	// returns at once.
+	StorePart func(Digest)
 	// Broadcast sends the records of one crash to the other daemons. End returns after
 	// Broadcast; see Broadcaster.
 	Broadcast func([]Record)
@@ -137,6 +140,9 @@
 	if c.Publish == nil {
 		c.Publish = func(Digest, Verdict) {}
 	}
+	if c.StorePart == nil {
+		c.StorePart = func(Digest) {}
+	}
 	if c.Broadcast == nil {
 		c.Broadcast = func([]Record) {}
 	}
--- a/quarantiner/registry.go
+++ b/quarantiner/registry.go
@@ -11,7 +11,9 @@
 
 	"laburnumline/contractor"
 	"laburnumline/persister"
+	"laburnumline/recorder"
 	"laburnumline/refuser"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -21,6 +23,9 @@
 	// permitRetryAfter is the Retry-After when no permit is granted, for instance during
 	// another execution of the suspect.
 	permitRetryAfter = 2 * time.Second
+	// minPersistDelay doubles with each failed attempt to store a record, up to maxPersistDelay.
+	minPersistDelay = 250 * time.Millisecond
+	maxPersistDelay = 4 * time.Second
 	// loadPageSize is the number of records that Load reads per page.
 	loadPageSize = 500
 )
@@ -39,6 +44,8 @@
 	PermitTimeout time.Duration
 	// Now returns the time. Nil means time.Now.
 	Now func() time.Time
+	// Recorder counts what is not stored. Nil discards it.
+	Recorder *recorder.Recorder
 }
 
 const defaultPermitTimeout = 15 * time.Minute
@@ -178,6 +185,18 @@
 	return fmt.Errorf("report digest %s: %w", d, persister.ErrConflict)
 }
 
+// Persist reports a digest until the store has it, or ctx ends.
+func (r *Registry) Persist(ctx context.Context, d Digest) {
+	err := r.Report(ctx, d)
+	for delay := minPersistDelay; err != nil; delay = min(2*delay, maxPersistDelay) {
+		if sleeper.Sleep(ctx, delay) != nil {
+			r.Recorder.Event(recorder.QuarantineNotStored, "digest", d, "err", err)
+			return
+		}
+		err = r.Report(ctx, d)
+	}
+}
+
 // Lift lifts the quarantine of a request at an operator's request.
 func (r *Registry) Lift(ctx context.Context, d Digest) error {
 	for range maxCommitAttempts {
