launcher: quarantines outlive the daemons

Cause: on the users' platform quarantines were in the memory of the daemons and in five notices each. A daemon that starts knew none, and a restart of all forgot them. Class: state that must last kept in processes that do not. Ruled out: a watch of the records, which would be half as many calls again as the two that a daemon has (a poll each 0.7 to 1.5 s); notices tell those that run. Change: the daemon that quarantines a request or part stores its record (Registry.Persist, repeated until the store has it), and a daemon that starts loads all records, one call. Event 2108 if they cannot be loaded. Conclusion: mended; one call to the store for each start of a daemon.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -193,10 +193,11 @@
 	})
 	d.quarantiner = quarantiner.New(quarantiner.Config{
 		MaxCrashes: maxCrashes, SuspicionPeriod: suspectRetention, RefutationTime: d.refutationTime,
-		Broadcast: d.publishSuspects, Recorder: rec,
+		Publish: d.storeVerdict, StorePart: d.storeQuarantine, Broadcast: d.publishSuspects, Recorder: rec,
 	})
 	d.quarantineRegistry = &quarantiner.Registry{
 		Store: d.store, Local: d.quarantiner, Incarnation: strconv.FormatUint(uint64(d.incarnation), 16), PermitTimeout: permitTimeout,
+		Recorder: rec,
 	}
 	d.forwarder = forwarder.New(forwarder.Config{
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dial, address) },
@@ -270,6 +271,7 @@
 	var tasks errgroup.Group
 	tasks.Go(func() error { d.configurationReplicator.Run(background); return nil })
 	tasks.Go(func() error { d.upstreamReplicator.Run(background); return nil })
+	tasks.Go(func() error { d.loadQuarantine(background); return nil })
 	tasks.Go(func() error { d.shares.Run(background); return nil })
 	tasks.Go(func() error { d.maintain(background); return nil })
 	tasks.Go(func() error { return d.announce(background) })
--- a/quarantiner/registry.go
+++ b/quarantiner/registry.go
@@ -26,6 +26,9 @@
 	// minPersistDelay doubles with each failed attempt to store a record, up to maxPersistDelay.
 	minPersistDelay = 250 * time.Millisecond
 	maxPersistDelay = 4 * time.Second
+	// recordLifetime is how long after its last crash a record stays in the store. Daemons
+	// that run keep theirs.
+	recordLifetime = 24 * time.Hour
 	// loadPageSize is the number of records that Load reads per page.
 	loadPageSize = 500
 )
@@ -213,7 +216,8 @@
 	return fmt.Errorf("lift quarantine of digest %s: %w", d, persister.ErrConflict)
 }
 
-// Load merges all records of the store into Local, when the daemon starts.
+// Load merges all records of the store into Local, when the daemon starts, and removes the
+// expired ones from the store.
 func (r *Registry) Load(ctx context.Context) error {
 	after := ""
 	for {
@@ -222,9 +226,10 @@
 			return fmt.Errorf("load quarantine: %w", err)
 		}
 		for _, entry := range page.Entries {
-			r.mergeEntry(entry)
+			r.Apply(entry)
 			after = entry.Key
 		}
+		r.removeExpired(ctx, page.Entries)
 		if !page.More || len(page.Entries) == 0 {
 			return nil
 		}
@@ -236,17 +241,39 @@
 	return r.Store.Watch(ctx, keyPrefix, after, func(b persister.Batch) error {
 		for _, c := range b.Changes {
 			if !c.Deleted {
-				r.mergeEntry(c.Entry)
+				r.Apply(c.Entry)
 			}
 		}
 		return nil
 	})
 }
 
-func (r *Registry) mergeEntry(entry persister.Entry) {
+// Apply merges an entry of the store into Local.
+func (r *Registry) Apply(entry persister.Entry) {
 	record, err := decode(entry)
-	if err == nil {
-		r.Local.Merge(r.now(), []Record{record})
+	if err != nil {
+		r.Recorder.Event(recorder.EntrySkipped, "key", entry.Key, "revision", entry.Revision, "err", err)
+		return
+	}
+	r.Local.Merge(r.now(), []Record{record})
+}
+
+// removeExpired removes those entries from the store whose last crash is longer than
+// recordLifetime ago. If it fails, another daemon that starts removes them.
+func (r *Registry) removeExpired(ctx context.Context, entries []persister.Entry) {
+	oldest := r.now().Add(-recordLifetime).Unix()
+	for _, e := range entries {
+		record, err := decode(e)
+		if err != nil || record.LastCrash >= oldest || record.PermitHolder != "" {
+			continue
+		}
+		_, err = r.Store.Commit(ctx, persister.Txn{
+			Compares: []persister.Compare{{Key: e.Key, Revision: e.Revision}}, Deletes: []string{e.Key},
+		})
+		if err != nil {
+			r.Recorder.Event(recorder.QuarantineNotStored, "key", e.Key, "err", err)
+			return
+		}
 	}
 }
 
--- a/quarantiner/registry_test.go
+++ b/quarantiner/registry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -52,6 +53,9 @@
 	for _, p := range txn.Puts {
 		s.entries[p.Key] = persister.Entry{Key: p.Key, Value: p.Value, Revision: s.revision}
 	}
+	for _, key := range txn.Deletes {
+		delete(s.entries, key)
+	}
 	if s.loseResponses {
 		return 0, persister.ErrUnknown
 	}
@@ -222,3 +226,24 @@
 	require.NoError(t, list[1].Load(t.Context()))
 	require.Equal(t, Clear, list[1].Local.Check(*now, digest(1)))
 }
+
+// A quarantine that is not stored is lost when all daemons restart, also if the store was
+// unavailable at its time. One that is old must not stay in the store for ever.
+func TestQuarantineIsPersistedAndExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registries, store, now := newRegistries(2)
+		for i := range 3 {
+			registries[0].Local.PartsCrashed(*now, []Digest{PartDigest(1)}, fmt.Sprint("i-", i))
+		}
+		store.unavailable = true
+		time.AfterFunc(10*time.Second, func() { store.unavailable = false })
+		registries[0].Persist(t.Context(), PartDigest(1))
+		require.NoError(t, registries[1].Load(t.Context()))
+		require.Len(t, store.entries, 1)
+		record, _ := registries[1].Local.Record(PartDigest(1))
+		require.Len(t, record.CrashedUpstreams, 3)
+		*now = now.Add(recordLifetime + time.Hour)
+		require.NoError(t, registries[1].Load(t.Context()))
+		require.Empty(t, store.entries)
+	})
+}
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -22,6 +22,8 @@
 	PartCleared Code = 2106
 	// QuarantineNotStored is logged when a quarantine cannot be written to the store.
 	QuarantineNotStored Code = 2107
+	// QuarantineNotLoaded is logged when a starting daemon cannot load the quarantines.
+	QuarantineNotLoaded Code = 2108
 	// OrderFailed is logged when an engine fails to execute an order, such as to load a model.
 	OrderFailed Code = 2201
 	// UpstreamListed is logged when the entry of an upstream appears or changes its state.
@@ -53,6 +55,7 @@
 	PartQuarantined:     "part_quarantined",
 	PartCleared:         "part_cleared",
 	QuarantineNotStored: "quarantine_not_stored",
+	QuarantineNotLoaded: "quarantine_not_loaded",
 	OrderFailed:         "order_failed",
 	UpstreamListed:      "upstream_listed",
 	UpstreamGone:        "upstream_gone",
