--- a/quarantiner/registry_test.go
+++ b/quarantiner/registry_test.go
@@ -21,12 +21,14 @@
 	entries     map[string]persister.Entry
 	revision    contractor.Revision
 	unavailable bool
+	// availableFrom is the time before which the store is unavailable.
+	availableFrom time.Time
 	// loseResponses makes commits take effect but return ErrUnknown.
 	loseResponses bool
 }
 
 func (s *memoryStore) Get(_ context.Context, key string) (persister.Entry, error) {
-	if s.unavailable {
+	if s.unavailable || time.Now().Before(s.availableFrom) {
 		return persister.Entry{}, persister.ErrUnavailable
 	}
 	return s.entries[key], nil
@@ -235,8 +237,7 @@
 		for i := range 3 {
 			registries[0].Local.PartsCrashed(*now, []Digest{PartDigest(1)}, fmt.Sprint("i-", i))
 		}
-		store.unavailable = true
-		time.AfterFunc(10*time.Second, func() { store.unavailable = false })
+		store.availableFrom = time.Now().Add(10 * time.Second)
 		registries[0].Persist(t.Context(), PartDigest(1))
 		require.NoError(t, registries[1].Load(t.Context()))
 		require.Len(t, store.entries, 1)
