forwarder: a quarantined request that has run is not refused as not run

The status of a quarantine was set after the rule that makes a refusal of a request that may have run a 502. Ruled out: a late execution, as the upstream ran it before the refusal. Change: the rule comes last. Conclusion: mended; the crash fleet now compares each 503 with what was sent.

--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -53,11 +53,15 @@
 	aborted   int         // other requests whose stream broke off
 	// blamed counts other requests that were refused because they crash upstreams.
 	blamed int
+	// sentIDs holds the IDs of all requests that reached an upstream, and falselyRefused counts
+	// those of them that were refused as not executed.
+	sentIDs        map[string]bool
+	falselyRefused int
 }
 
 func newCrashFleet(t *testing.T, daemons, upstreams int) *crashFleet {
 	f := &crashFleet{
-		fakeUpstreams: newFakeUpstreams(t), statuses: make(map[int]int),
+		fakeUpstreams: newFakeUpstreams(t), statuses: make(map[int]int), sentIDs: make(map[string]bool),
 		crashed: make(map[netip.AddrPort]chan struct{}), downUntil: make(map[netip.AddrPort]time.Time),
 	}
 	f.list = nil
@@ -125,11 +129,12 @@
 		return nil, &connector.CallError{ConnectFailed: true, Step: "connect", Err: err}
 	}
 	crashes := string(call.Body) == crashBody
+	f.mu.Lock()
+	f.sentIDs[call.ID] = true
 	if crashes {
-		f.mu.Lock()
 		f.sent = append(f.sent, time.Now())
-		f.mu.Unlock()
 	}
+	f.mu.Unlock()
 	select {
 	case <-time.After(prefillTime):
 	case <-crashed:
@@ -180,11 +185,14 @@
 			defer func() { aborted = recover() != nil }()
 			daemon.Serve(context.Background(), w, request)
 		}()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.Code == http.StatusServiceUnavailable && f.sentIDs[request.ID] {
+			f.falselyRefused++
+		}
 		if body == crashBody {
 			return
 		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
 		if aborted {
 			f.aborted++
 			return
@@ -256,6 +264,7 @@
 					t.Logf("seed %d: %d crashes, %d sent too late, others: %v, %d aborted", seed, len(f.crashes), f.sentAfterFifthCrash(stable), f.statuses, f.aborted)
 					require.GreaterOrEqual(t, len(f.crashes), 3)
 					require.LessOrEqual(t, f.sentAfterFifthCrash(stable), maxSentAfter)
+					require.Zero(t, f.falselyRefused)
 					require.Zero(t, f.blamed)
 				})
 			}
@@ -263,6 +272,21 @@
 	}
 }
 
+// A part is quarantined by the crash in the first attempt of a request that may be resumed.
+// The request has run, so its refusal must not say that it has not.
+func TestQuarantineBetweenAttemptsIsNoPromise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, random := newCrashFleet(t, 1, 18), rand.New(rand.NewPCG(1, 1))
+		for _, path := range []string{"/stream/", "/stream/", "/resume/"} {
+			f.call(path, crashBody, random, 1, crashPart, random.Uint64())
+			time.Sleep(5 * time.Second)
+			synctest.Wait()
+		}
+		require.Len(t, f.sent, 3, "the second attempt of the last request is refused")
+		require.Zero(t, f.falselyRefused)
+	})
+}
+
 // Many upstreams crash at the same moment, again and again, for a reason of their own. No
 // request and no part that they have in common may be blamed for it.
 func TestCrashOfManyUpstreamsBlamesNoPart(t *testing.T) {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -222,12 +222,12 @@
 		return
 	}
 	status := refusal.Reason.Status()
-	if refusal.Execution == refuser.PossiblyExecuted && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
-		status = http.StatusBadGateway
-	}
 	if refusal.Reason == refuser.Quarantined {
 		status = http.StatusServiceUnavailable // retryable, as the quarantine can end
 	}
+	if refusal.Execution == refuser.PossiblyExecuted && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		status = http.StatusBadGateway
+	}
 	h := x.writer.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if refusal.RetryAfter > 0 && status != http.StatusBadGateway {
