announcer: suspects with several crashes are announced at once in large fleets

Cause: in a fleet of 295 daemons a notice goes out each 2.95 s. Change: a record with two crashes or more makes the next notice go out within 100 ms; a single crash, as sound parts have after the crash of many upstreams, does not. Figures: TestUrgentSuspectsAreAnnouncedEarly; the play of the fleet has a fixed delay and does not show it. Conclusion: evidence spreads in large fleets as in small ones.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -121,6 +121,8 @@
 	config   Config
 	conn     *net.UDPConn
 	sequence uint64
+	// urgent has a value when the next notice must not wait for its time.
+	urgent chan struct{}
 	// mu guards pendingSuspects, the suspects that are still to be announced.
 	mu              sync.Mutex
 	pendingSuspects []pendingSuspect
@@ -140,6 +142,9 @@
 	maxSuspects = 8
 	// maxPendingSuspects limits the suspects that wait for announcement.
 	maxPendingSuspects = 64
+	// urgentCrashes is the number of crashes from which a suspect is announced within
+	// minInterval also in a large fleet, because further crashes may follow at once.
+	urgentCrashes = 2
 )
 
 // AnnounceSuspects adds suspects to the next notices. A record replaces an earlier one of the
@@ -156,6 +161,13 @@
 		return cmp.Compare(len(y.record.CrashedUpstreams), len(x.record.CrashedUpstreams))
 	})
 	a.pendingSuspects = a.pendingSuspects[:min(len(a.pendingSuspects), maxPendingSuspects)]
+	if !slices.ContainsFunc(records, func(r quarantiner.Record) bool { return len(r.CrashedUpstreams) >= urgentCrashes }) {
+		return
+	}
+	select {
+	case a.urgent <- struct{}{}:
+	default:
+	}
 }
 
 // nextSuspects returns the suspects for the next notice.
@@ -183,7 +195,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for notices on %s: %w", c.Address, err)
 	}
-	return &Announcer{config: c, conn: conn, lastSequence: make(map[uint32]uint64)}, nil
+	return &Announcer{config: c, conn: conn, urgent: make(chan struct{}, 1), lastSequence: make(map[uint32]uint64)}, nil
 }
 
 // Run sends and receives notices until ctx ends.
@@ -191,17 +203,30 @@
 	stop := context.AfterFunc(ctx, func() { a.conn.Close() })
 	defer stop()
 	go a.receive()
+	a.schedule(ctx, func() time.Duration {
+		peers := a.config.Peers()
+		a.send(peers)
+		return Interval(len(peers))
+	})
+}
+
+// schedule calls send until ctx ends: after the interval that its last call returned, or within
+// minInterval if a suspect is urgent.
+func (a *Announcer) schedule(ctx context.Context, send func() time.Duration) {
+	next := time.Now().Add(minInterval)
 	timer := time.NewTimer(minInterval)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-a.urgent:
+			timer.Reset(min(minInterval, time.Until(next)))
 		case <-timer.C:
+			interval := send()
+			next = time.Now().Add(interval)
+			timer.Reset(interval)
 		}
-		peers := a.config.Peers()
-		a.send(peers)
-		timer.Reset(Interval(len(peers)))
 	}
 }
 
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -112,6 +113,35 @@
 	require.False(t, a.accept(&Notice{From: 1, Sequence: 9}), "its own")
 }
 
+// In a large fleet the next notice is seconds away. A suspect with several crashes must not wait
+// for it, and a single crash must not cost a notice to each daemon.
+func TestUrgentSuspectsAreAnnouncedEarly(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes []string
+		want    time.Duration // of the second notice
+	}{
+		{"one crash", []string{"i-1"}, minInterval + 3*time.Second},
+		{"two crashes", []string{"i-1", "i-2"}, 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := &Announcer{urgent: make(chan struct{}, 1)}
+				start, times := time.Now(), []time.Duration(nil)
+				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+				defer cancel()
+				time.AfterFunc(2*time.Second-minInterval, func() {
+					a.AnnounceSuspects([]quarantiner.Record{{CrashedUpstreams: tt.crashes}})
+				})
+				a.schedule(ctx, func() time.Duration { times = append(times, time.Since(start)); return 3 * time.Second })
+				require.Len(t, times, 2)
+				require.Equal(t, tt.want, times[1])
+			})
+		})
+	}
+}
+
 // After the crash of many upstreams, records of sound parts fill several notices. Those with the
 // most crashes must not wait for them, and only the latest record of a suspect is announced.
 func TestSuspectsWithMostCrashesAreAnnouncedFirst(t *testing.T) {
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -29,7 +29,6 @@
 	prefillTime   = 100 * time.Millisecond
 	eventInterval = 20 * time.Millisecond
 	crashDowntime = 4 * time.Second
-	noticeDelay   = 100 * time.Millisecond
 	// crashBody is the body of requests that crash upstreams, and crashPart the prompt part
 	// that they share.
 	crashBody = "crash"
@@ -43,6 +42,8 @@
 	*fakeUpstreams
 	forwarders  []*Forwarder
 	quarantines []*quarantiner.Quarantiner
+	// noticeDelay is the time until the other daemons learn what one announces.
+	noticeDelay time.Duration
 
 	mu        sync.Mutex
 	crashed   map[netip.AddrPort]chan struct{} // closed when the upstream crashes
@@ -59,9 +60,9 @@
 	falselyRefused int
 }
 
-func newCrashFleet(t *testing.T, daemons, upstreams int) *crashFleet {
+func newCrashFleet(t *testing.T, daemons, upstreams int, noticeDelay time.Duration) *crashFleet {
 	f := &crashFleet{
-		fakeUpstreams: newFakeUpstreams(t), statuses: make(map[int]int), sentIDs: make(map[string]bool),
+		noticeDelay: noticeDelay, fakeUpstreams: newFakeUpstreams(t), statuses: make(map[int]int), sentIDs: make(map[string]bool),
 		crashed: make(map[netip.AddrPort]chan struct{}), downUntil: make(map[netip.AddrPort]time.Time),
 	}
 	f.list = nil
@@ -74,7 +75,10 @@
 		f.crashed[u.Address] = make(chan struct{})
 	}
 	for i := range daemons {
-		q := quarantiner.New(quarantiner.Config{MaxCrashes: 3, SuspicionPeriod: time.Minute, Broadcast: func(records []quarantiner.Record) { f.broadcast(i, records) }})
+		q := quarantiner.New(quarantiner.Config{
+			MaxCrashes: 3, SuspicionPeriod: time.Minute, RefutationTime: func() time.Duration { return 2*time.Second + noticeDelay },
+			Broadcast: func(records []quarantiner.Record) { f.broadcast(i, records) },
+		})
 		f.quarantines = append(f.quarantines, q)
 		f.forwarders = append(f.forwarders, New(Config{
 			Tables: f, Upstreams: f, Budgets: f, Balancer: balancer.New(balancer.Config{}), Sender: f, Quarantine: q, Probe: f.probe,
@@ -87,7 +91,7 @@
 
 // broadcast delivers records to the other daemons after noticeDelay.
 func (f *crashFleet) broadcast(from int, records []quarantiner.Record) {
-	time.AfterFunc(noticeDelay, func() {
+	time.AfterFunc(f.noticeDelay, func() {
 		for i, q := range f.quarantines {
 			if i != from {
 				q.Merge(time.Now(), records)
@@ -239,31 +243,33 @@
 // answer them. The fleet has to recognise the part, and to go on serving the requests that
 // share only the other parts.
 func TestCrashingPartIsQuarantined(t *testing.T) {
-	const (
-		stable       = 3 * time.Second // the users count from then on
-		maxSentAfter = 3               // what the users allow
-	)
+	const maxSentAfter = 3 // what the users allow
+	small, large := 100*time.Millisecond, 3*time.Second
 	tests := []struct {
 		name               string
 		path               string
 		daemons, upstreams int
 		crashInterval      time.Duration
+		noticeDelay        time.Duration
+		stable             time.Duration // after the fifth crash; the users count from then on
 	}{
-		{"one daemon", "/stream/", 1, 18, time.Second},
-		{"fleet", "/stream/", 7, 18, 800 * time.Millisecond},
-		{"fleet, resumable", "/resume/", 7, 18, 800 * time.Millisecond},
-		{"fleet, many at once", "/stream/", 7, 18, 100 * time.Millisecond},
-		{"fleet, seldom", "/stream/", 7, 18, 5 * time.Second},
+		{"one daemon", "/stream/", 1, 18, time.Second, small, 3 * time.Second},
+		{"fleet", "/stream/", 7, 18, 800 * time.Millisecond, small, 3 * time.Second},
+		{"fleet, resumable", "/resume/", 7, 18, 800 * time.Millisecond, small, 3 * time.Second},
+		{"fleet, many at once", "/stream/", 7, 18, 100 * time.Millisecond, small, 3 * time.Second},
+		{"fleet, seldom", "/stream/", 7, 18, 5 * time.Second, small, 3 * time.Second},
+		{"large fleet", "/stream/", 60, 100, 800 * time.Millisecond, large, 5 * time.Second},
+		{"large fleet, many at once", "/stream/", 60, 100, 100 * time.Millisecond, large, 5 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for seed := range uint64(3) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newCrashFleet(t, tt.daemons, tt.upstreams)
+					f := newCrashFleet(t, tt.daemons, tt.upstreams, tt.noticeDelay)
 					f.play(tt.path, 50*time.Second, tt.crashInterval, rand.New(rand.NewPCG(seed, 1)))
-					t.Logf("seed %d: %d crashes, %d sent too late, others: %v, %d aborted", seed, len(f.crashes), f.sentAfterFifthCrash(stable), f.statuses, f.aborted)
+					t.Logf("seed %d: %d crashes, %d sent too late, others: %v, %d aborted", seed, len(f.crashes), f.sentAfterFifthCrash(tt.stable), f.statuses, f.aborted)
 					require.GreaterOrEqual(t, len(f.crashes), 3)
-					require.LessOrEqual(t, f.sentAfterFifthCrash(stable), maxSentAfter)
+					require.LessOrEqual(t, f.sentAfterFifthCrash(tt.stable), maxSentAfter)
 					require.Zero(t, f.falselyRefused)
 					require.Zero(t, f.blamed)
 				})
@@ -276,7 +282,7 @@
 // The request has run, so its refusal must not say that it has not.
 func TestQuarantineBetweenAttemptsIsNoPromise(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, random := newCrashFleet(t, 1, 18), rand.New(rand.NewPCG(1, 1))
+		f, random := newCrashFleet(t, 1, 18, 100*time.Millisecond), rand.New(rand.NewPCG(1, 1))
 		for _, path := range []string{"/stream/", "/stream/", "/resume/"} {
 			f.call(path, crashBody, random, 1, crashPart, random.Uint64())
 			time.Sleep(5 * time.Second)
@@ -292,7 +298,7 @@
 func TestCrashOfManyUpstreamsBlamesNoPart(t *testing.T) {
 	for seed := range uint64(3) {
 		synctest.Test(t, func(t *testing.T) {
-			f := newCrashFleet(t, 7, 18)
+			f := newCrashFleet(t, 7, 18, 100*time.Millisecond)
 			go func() {
 				crashRandom := rand.New(rand.NewPCG(seed, 3))
 				for range 8 {
