forwarder: a stream refutes the blame of its parts once

Cause: found on reading the change again: a stream discarded the crashes of its parts after 200 ms of output and again at its end. A stream that began before a part turned bad could so, seconds later, discard the crashes that the part caused since. Change: once per attempt, when the output has lasted 200 ms or ends before.

--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -209,14 +209,19 @@
 }
 
 // play sends requests for a time: sound ones, of which many share parts with those that crash
-// upstreams, and once in crashInterval one that crashes its upstream.
-func (f *crashFleet) play(path string, duration, crashInterval time.Duration, random *rand.Rand) {
+// upstreams, and once in crashInterval one that crashes its upstream. Requests with crashPart
+// are sound for the time soundFor.
+func (f *crashFleet) play(path string, duration, crashInterval, soundFor time.Duration, random *rand.Rand) {
 	const soundInterval = 30 * time.Millisecond
-	end, nextCrash := time.Now().Add(duration), time.Now()
-	for time.Now().Before(end) {
+	start, nextCrash := time.Now(), time.Now()
+	for time.Since(start) < duration {
+		body := crashBody
+		if time.Since(start) < soundFor {
+			body = "sound"
+		}
 		f.call(path, "sound", random, random.Uint64N(3), 100+random.Uint64N(40), random.Uint64())
 		if crashInterval > 0 && !time.Now().Before(nextCrash) {
-			f.call(path, crashBody, random, random.Uint64N(3), crashPart, random.Uint64())
+			f.call(path, body, random, random.Uint64N(3), crashPart, random.Uint64())
 			nextCrash = nextCrash.Add(crashInterval/2 + time.Duration(random.Int64N(int64(crashInterval))))
 		}
 		time.Sleep(soundInterval)
@@ -251,22 +256,24 @@
 		daemons, upstreams int
 		crashInterval      time.Duration
 		noticeDelay        time.Duration
+		soundFor           time.Duration
 		stable             time.Duration // after the fifth crash; the users count from then on
 	}{
-		{"one daemon", "/stream/", 1, 18, time.Second, small, 3 * time.Second},
-		{"fleet", "/stream/", 7, 18, 800 * time.Millisecond, small, 3 * time.Second},
-		{"fleet, resumable", "/resume/", 7, 18, 800 * time.Millisecond, small, 3 * time.Second},
-		{"fleet, many at once", "/stream/", 7, 18, 100 * time.Millisecond, small, 3 * time.Second},
-		{"fleet, seldom", "/stream/", 7, 18, 5 * time.Second, small, 3 * time.Second},
-		{"large fleet", "/stream/", 60, 100, 800 * time.Millisecond, large, 5 * time.Second},
-		{"large fleet, many at once", "/stream/", 60, 100, 100 * time.Millisecond, large, 5 * time.Second},
+		{"one daemon", "/stream/", 1, 18, time.Second, small, 0, 3 * time.Second},
+		{"fleet", "/stream/", 7, 18, 800 * time.Millisecond, small, 0, 3 * time.Second},
+		{"fleet, resumable", "/resume/", 7, 18, 800 * time.Millisecond, small, 0, 3 * time.Second},
+		{"fleet, many at once", "/stream/", 7, 18, 100 * time.Millisecond, small, 0, 3 * time.Second},
+		{"fleet, seldom", "/stream/", 7, 18, 5 * time.Second, small, 0, 3 * time.Second},
+		{"fleet, part that was sound", "/stream/", 7, 18, 400 * time.Millisecond, small, 10 * time.Second, 3 * time.Second},
+		{"large fleet", "/stream/", 60, 100, 800 * time.Millisecond, large, 0, 5 * time.Second},
+		{"large fleet, many at once", "/stream/", 60, 100, 100 * time.Millisecond, large, 0, 5 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for seed := range uint64(3) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newCrashFleet(t, tt.daemons, tt.upstreams, tt.noticeDelay)
-					f.play(tt.path, 50*time.Second, tt.crashInterval, rand.New(rand.NewPCG(seed, 1)))
+					f.play(tt.path, 50*time.Second, tt.crashInterval, tt.soundFor, rand.New(rand.NewPCG(seed, 1)))
 					t.Logf("seed %d: %d crashes, %d sent too late, others: %v, %d aborted", seed, len(f.crashes), f.sentAfterFifthCrash(tt.stable), f.statuses, f.aborted)
 					require.GreaterOrEqual(t, len(f.crashes), 3)
 					require.LessOrEqual(t, f.sentAfterFifthCrash(tt.stable), maxSentAfter)
@@ -308,7 +315,7 @@
 					}
 				}
 			}()
-			f.play("/stream/", 50*time.Second, 0, rand.New(rand.NewPCG(seed, 2)))
+			f.play("/stream/", 50*time.Second, 0, 0, rand.New(rand.NewPCG(seed, 2)))
 			t.Logf("seed %d: %d crashes, others: %v, %d aborted", seed, len(f.crashes), f.statuses, f.aborted)
 			require.Zero(t, f.blamed)
 		})
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -120,13 +120,17 @@
 	if x.firstOutput.IsZero() {
 		x.firstOutput = now
 	}
-	if !x.served && now.Sub(x.firstOutput) >= quarantiner.OutputTime {
+	if now.Sub(x.firstOutput) >= quarantiner.OutputTime {
 		x.recordServed(now)
 	}
 }
 
-// recordServed records that the request did not crash its upstream.
+// recordServed records, once per attempt, that the request did not crash its upstream. The end
+// of a long stream says nothing about crashes since its output began.
 func (x *exchange) recordServed(now time.Time) {
+	if x.served {
+		return
+	}
 	x.served = true
 	if quarantine := x.forwarder.config.Quarantine; !quarantine.Empty() {
 		quarantine.PartsServed(now, x.sharedParts())
