quarantiner: name the times of a part's crashes after what they are

Cause: on reading as a newcomer, the type and map 'learned' needed an explanation. Change: crashTimes and recordCrashTimes; names only. Measured: go test -race ./quarantiner ./executor passes.

--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -19,8 +19,8 @@
 // upstream. A part crashes an upstream when the output begins.
 const OutputTime = 200 * time.Millisecond
 
-// learned is when a daemon learned of the crashes of a part, by its monotonic clock.
-type learned struct {
+// crashTimes is when a daemon learned of the crashes of a part, by its monotonic clock.
+type crashTimes struct {
 	lifts int
 	first time.Time
 	last  map[string]time.Time // by upstream
@@ -52,7 +52,7 @@
 
 // refutationEnded reports whether RefutationTime has passed since the first crash of a part.
 func (q *Quarantiner) refutationEnded(now time.Time, d Digest) bool {
-	l := q.learned[d]
+	l := q.crashTimes[d]
 	return l != nil && now.Sub(l.first) >= q.config.RefutationTime()
 }
 
@@ -101,15 +101,15 @@
 	var changed []Record
 	q.mu.Lock()
 	for _, d := range parts {
-		if l := q.learned[d]; l != nil && now.Sub(l.last[upstream]) < sameCrash {
+		if l := q.crashTimes[d]; l != nil && now.Sub(l.last[upstream]) < sameCrash {
 			continue
 		}
 		record := q.records[d]
 		record.Part = true
 		q.records[d] = record
 		record = q.addCrash(now, d, upstream)
-		q.learn(now, &record)
-		q.learned[d].last[upstream] = now
+		q.recordCrashTimes(now, &record)
+		q.crashTimes[d].last[upstream] = now
 		changed = append(changed, record)
 	}
 	q.mu.Unlock()
@@ -118,19 +118,19 @@
 	}
 }
 
-// learn records when the daemon learned of the crashes of a part.
-func (q *Quarantiner) learn(now time.Time, r *Record) {
+// recordCrashTimes records when the daemon learned of the crashes of a part.
+func (q *Quarantiner) recordCrashTimes(now time.Time, r *Record) {
 	if !r.Part {
 		return
 	}
 	if len(r.CrashedUpstreams) == 0 {
-		delete(q.learned, r.Digest)
+		delete(q.crashTimes, r.Digest)
 		return
 	}
-	l := q.learned[r.Digest]
+	l := q.crashTimes[r.Digest]
 	if l == nil || l.lifts != r.Lifts {
-		l = &learned{lifts: r.Lifts, first: now, last: make(map[string]time.Time)}
-		q.learned[r.Digest] = l
+		l = &crashTimes{lifts: r.Lifts, first: now, last: make(map[string]time.Time)}
+		q.crashTimes[r.Digest] = l
 	}
 	known := q.records[r.Digest].CrashedUpstreams
 	for _, upstream := range r.CrashedUpstreams {
@@ -164,7 +164,7 @@
 func (q *Quarantiner) discardCrashes(now time.Time, r *Record) {
 	announced := r.Confirmed
 	*r = Record{Digest: r.Digest, Part: true, Version: r.Version, Lifts: r.Lifts + 1}
-	q.learn(now, r)
+	q.recordCrashTimes(now, r)
 	q.put(now, *r)
 	if announced {
 		q.config.Recorder.Event(recorder.PartCleared, "digest", r.Digest)
--- a/quarantiner/part_test.go
+++ b/quarantiner/part_test.go
@@ -18,8 +18,8 @@
 	return list
 }
 
-// crashTimes reports crashes of different upstreams at these times after start, with both parts.
-func crashTimes(q *Quarantiner, times ...time.Duration) {
+// reportCrashes reports crashes of different upstreams at these times after start, with both parts.
+func reportCrashes(q *Quarantiner, times ...time.Duration) {
 	for i, at := range times {
 		q.PartsCrashed(start.Add(at), partDigests(shared, crashing), fmt.Sprint("i-", i))
 	}
@@ -35,17 +35,17 @@
 		after  time.Duration
 		want   Verdict
 	}{
-		{"two crashes", func(q *Quarantiner) { crashTimes(q, 0, time.Second) }, 10 * time.Second, Clear},
-		{"three crashes", func(q *Quarantiner) { crashTimes(q, 0, time.Second, 2*time.Second) }, 3 * time.Second, Quarantined},
-		{"three crashes at once", func(q *Quarantiner) { crashTimes(q, 0, 0, 0) }, time.Second, Clear},
-		{"three crashes at once, not refuted", func(q *Quarantiner) { crashTimes(q, 0, 0, 0) }, 2 * time.Second, Quarantined},
+		{"two crashes", func(q *Quarantiner) { reportCrashes(q, 0, time.Second) }, 10 * time.Second, Clear},
+		{"three crashes", func(q *Quarantiner) { reportCrashes(q, 0, time.Second, 2*time.Second) }, 3 * time.Second, Quarantined},
+		{"three crashes at once", func(q *Quarantiner) { reportCrashes(q, 0, 0, 0) }, time.Second, Clear},
+		{"three crashes at once, not refuted", func(q *Quarantiner) { reportCrashes(q, 0, 0, 0) }, 2 * time.Second, Quarantined},
 		{"output after the second crash", func(q *Quarantiner) {
-			crashTimes(q, 0, time.Second)
+			reportCrashes(q, 0, time.Second)
 			q.PartsServed(start.Add(1500*time.Millisecond), partDigests(crashing))
 			q.PartsCrashed(start.Add(2*time.Second), partDigests(crashing), "i-2")
 		}, 10 * time.Second, Clear},
 		{"output while quarantined", func(q *Quarantiner) {
-			crashTimes(q, 0, time.Second, 2*time.Second)
+			reportCrashes(q, 0, time.Second, 2*time.Second)
 			q.CheckParts(start.Add(3*time.Second), partDigests(crashing))
 			q.PartsServed(start.Add(4*time.Second), partDigests(crashing))
 		}, 5 * time.Second, Clear},
@@ -59,7 +59,7 @@
 				q.PartsCrashed(start.Add(i*2*time.Second), partDigests(crashing), "i-0")
 			}
 		}, 10 * time.Second, Quarantined},
-		{"no crash for the suspicion period", func(q *Quarantiner) { crashTimes(q, 0, time.Second, 2*time.Second) }, 2 * time.Minute, Suspect},
+		{"no crash for the suspicion period", func(q *Quarantiner) { reportCrashes(q, 0, time.Second, 2*time.Second) }, 2 * time.Minute, Suspect},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -182,8 +182,8 @@
 	attributed map[execution]int
 	// permitHeld holds the digests that this daemon executes with a permit.
 	permitHeld map[Digest]bool
-	// learned holds when this daemon learned of the crashes of parts.
-	learned map[Digest]*learned
+	// crashTimes holds when this daemon learned of the crashes of parts.
+	crashTimes map[Digest]*crashTimes
 }
 
 // New returns a quarantiner without records.
@@ -196,7 +196,7 @@
 		attributed: make(map[execution]int),
 
 		permitHeld: make(map[Digest]bool),
-		learned:    make(map[Digest]*learned),
+		crashTimes: make(map[Digest]*crashTimes),
 	}
 }
 
@@ -342,7 +342,7 @@
 	for d, r := range q.records {
 		if q.verdict(now, &r) == Clear {
 			delete(q.records, d)
-			delete(q.learned, d)
+			delete(q.crashTimes, d)
 		}
 	}
 }
@@ -364,7 +364,7 @@
 	defer q.mu.Unlock()
 	for _, r := range records {
 		merged := merge(q.records[r.Digest], r)
-		q.learn(now, &merged)
+		q.recordCrashTimes(now, &merged)
 		q.put(now, merged)
 	}
 }
