quarantiner, announcer: a sound part is not blamed where notices are seldom

Cause: notices go out each 0.9 s there and carry 8 suspects. After the crash of many upstreams the single crashes of sound parts filled them, and what cleared a part was sent last or dropped. The third crash, 3 s after the first two, then quarantined it at once. Nothing tested it again for a minute. Ruled out: a lack of output (other daemons served the part all the while); the rule of 2 s and one interval since the first crash (it had passed). Change: notices carry suspects with several crashes first, then cleared ones, then those with one crash. A part is quarantined no sooner than one interval after the daemon learned of the third crash. One request of the fleet tests a part 10 s after its last crash, twice as long after each further one, at most a minute. Conclusion: mended; the fleet of the test now grants permits as the product does.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -148,7 +148,7 @@
 )
 
 // AnnounceSuspects adds suspects to the next notices. A record replaces an earlier one of the
-// same suspect. Those with the most crashes are sent first, and the last ones beyond
+// same suspect. They are sent in the order of their urgency, and the last ones beyond
 // maxPendingSuspects are dropped.
 func (a *Announcer) AnnounceSuspects(records []quarantiner.Record) {
 	a.mu.Lock()
@@ -158,10 +158,10 @@
 		a.pendingSuspects = append(a.pendingSuspects, pendingSuspect{r, announcementsPerSuspect})
 	}
 	slices.SortStableFunc(a.pendingSuspects, func(x, y pendingSuspect) int {
-		return cmp.Compare(len(y.record.CrashedUpstreams), len(x.record.CrashedUpstreams))
+		return cmp.Compare(urgency(&y.record), urgency(&x.record))
 	})
 	a.pendingSuspects = a.pendingSuspects[:min(len(a.pendingSuspects), maxPendingSuspects)]
-	if !slices.ContainsFunc(records, func(r quarantiner.Record) bool { return len(r.CrashedUpstreams) >= urgentCrashes }) {
+	if !slices.ContainsFunc(records, func(r quarantiner.Record) bool { return urgency(&r) == severalCrashes }) {
 		return
 	}
 	select {
@@ -170,6 +170,25 @@
 	}
 }
 
+// The urgencies of suspects, the least first.
+const (
+	oneCrash = iota
+	// cleared suspects precede those with one crash: after the crash of many upstreams these are
+	// many, and what clears a sound one must arrive before further crashes count for it.
+	cleared
+	severalCrashes
+)
+
+func urgency(r *quarantiner.Record) int {
+	switch {
+	case len(r.CrashedUpstreams) >= urgentCrashes:
+		return severalCrashes
+	case len(r.CrashedUpstreams) == 0:
+		return cleared
+	}
+	return oneCrash
+}
+
 // nextSuspects returns the suspects for the next notice.
 func (a *Announcer) nextSuspects() []quarantiner.Record {
 	a.mu.Lock()
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -142,18 +142,21 @@
 	}
 }
 
-// After the crash of many upstreams, records of sound parts fill several notices. Those with the
-// most crashes must not wait for them, and only the latest record of a suspect is announced.
-func TestSuspectsWithMostCrashesAreAnnouncedFirst(t *testing.T) {
+// After the crash of many upstreams, records of sound parts fill several notices. Those with
+// several crashes must not wait for them, nor what clears a sound part: until it arrives, further
+// crashes count for it. Only the latest record of a suspect is announced.
+func TestUrgentSuspectsAreAnnouncedFirst(t *testing.T) {
 	a := &Announcer{}
 	for i := range byte(2 * maxSuspects) {
 		a.AnnounceSuspects([]quarantiner.Record{{Digest: quarantiner.Digest{i}, CrashedUpstreams: []string{"i-1"}}})
 	}
 	worst := quarantiner.Record{Digest: quarantiner.Digest{3}, CrashedUpstreams: []string{"i-1", "i-2"}}
+	sound := quarantiner.Record{Digest: quarantiner.Digest{4}, Lifts: 1}
+	a.AnnounceSuspects([]quarantiner.Record{sound})
 	a.AnnounceSuspects([]quarantiner.Record{worst})
 	first := a.nextSuspects()
 	require.Len(t, first, maxSuspects)
-	require.Equal(t, worst, first[0])
+	require.Equal(t, []quarantiner.Record{worst, sound}, first[:2])
 	require.Len(t, a.pendingSuspects, 2*maxSuspects)
 }
 
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -18,7 +18,9 @@
 
 	"laburnumline/balancer"
 	"laburnumline/connector"
+	"laburnumline/contractor"
 	"laburnumline/framer"
+	"laburnumline/persister"
 	"laburnumline/quarantiner"
 	"laburnumline/refuser"
 	"laburnumline/registrar"
@@ -35,6 +37,35 @@
 	crashPart = 666
 )
 
+// memoryStore is an in-memory store with the methods that quarantiner.Registry uses.
+type memoryStore struct {
+	persister.Store
+	mu       sync.Mutex
+	entries  map[string]persister.Entry
+	revision contractor.Revision
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (persister.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[key], nil
+}
+
+func (s *memoryStore) Commit(_ context.Context, txn persister.Txn) (contractor.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range txn.Compares {
+		if s.entries[c.Key].Revision != c.Revision {
+			return 0, persister.ErrConflict
+		}
+	}
+	s.revision++
+	for _, p := range txn.Puts {
+		s.entries[p.Key] = persister.Entry{Key: p.Key, Value: p.Value, Revision: s.revision}
+	}
+	return s.revision, nil
+}
+
 // crashFleet is a fleet of forwarders whose quarantines exchange their records, in front of
 // upstreams that crash when they start to answer a request with crashBody. A crash breaks
 // everything that runs there.
@@ -74,14 +105,18 @@
 		f.list = append(f.list, u)
 		f.crashed[u.Address] = make(chan struct{})
 	}
+	store := &memoryStore{entries: make(map[string]persister.Entry)}
 	for i := range daemons {
+		registry := &quarantiner.Registry{Store: store, Incarnation: fmt.Sprint(i), PermitTimeout: time.Minute}
 		q := quarantiner.New(quarantiner.Config{
-			MaxCrashes: 3, SuspicionPeriod: time.Minute, RefutationTime: func() time.Duration { return 2*time.Second + noticeDelay },
+			MaxCrashes: 3, SuspicionPeriod: time.Minute, AnnouncementDelay: func() time.Duration { return noticeDelay },
+			StorePart: func(part quarantiner.Digest) { go registry.Persist(t.Context(), part) },
 			Broadcast: func(records []quarantiner.Record) { f.broadcast(i, records) },
 		})
+		registry.Local = q
 		f.quarantines = append(f.quarantines, q)
 		f.forwarders = append(f.forwarders, New(Config{
-			Tables: f, Upstreams: f, Budgets: f, Balancer: balancer.New(balancer.Config{}), Sender: f, Quarantine: q, Probe: f.probe,
+			Tables: f, Upstreams: f, Budgets: f, Balancer: balancer.New(balancer.Config{}), Sender: f, Quarantine: q, Permits: registry, Probe: f.probe,
 			Retries: retrier.New(retrier.Config{TargetRatio: 10, AccountRatio: 10, Burst: 100}), Random: func() float64 { return 0 },
 			SetMetadata: func(http.Header, Metadata) {},
 		}))
@@ -186,7 +221,13 @@
 	go func() {
 		w, aborted := httptest.NewRecorder(), false
 		func() {
-			defer func() { aborted = recover() != nil }()
+			defer func() {
+				cause := recover()
+				aborted = cause != nil
+				if aborted && cause != http.ErrAbortHandler {
+					panic(cause)
+				}
+			}()
 			daemon.Serve(context.Background(), w, request)
 		}()
 		f.mu.Lock()
@@ -289,7 +330,7 @@
 // The request has run, so its refusal must not say that it has not.
 func TestQuarantineBetweenAttemptsIsNoPromise(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, random := newCrashFleet(t, 1, 18, 100*time.Millisecond), rand.New(rand.NewPCG(1, 1))
+		f, random := newCrashFleet(t, 1, 18, 0), rand.New(rand.NewPCG(1, 1))
 		for _, path := range []string{"/stream/", "/stream/", "/resume/"} {
 			f.call(path, crashBody, random, 1, crashPart, random.Uint64())
 			time.Sleep(5 * time.Second)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -192,7 +192,7 @@
 		BatchDelay: func() time.Duration { return coalesceDelay(d.Members(), d.shares.Registered()) },
 	})
 	d.quarantiner = quarantiner.New(quarantiner.Config{
-		MaxCrashes: maxCrashes, SuspicionPeriod: suspectRetention, RefutationTime: d.refutationTime,
+		MaxCrashes: maxCrashes, SuspicionPeriod: suspectRetention, AnnouncementDelay: d.announcementDelay,
 		Publish: d.storeVerdict, StorePart: d.storeQuarantine, Broadcast: d.publishSuspects, Recorder: rec,
 	})
 	d.quarantineRegistry = &quarantiner.Registry{
@@ -218,16 +218,13 @@
 	maxCrashes = 3
 	// suspectRetention is how long after its last crash a request is kept from upstreams.
 	suspectRetention = time.Minute
-	// minRefutationTime is the least time for output of other requests to refute that a prompt
-	// part crashes upstreams. Sound parts of some load are served within it.
-	minRefutationTime = 2 * time.Second
 	// permitTimeout exceeds the longest request.
 	permitTimeout = time.Minute
 )
 
-// refutationTime includes one interval between the notices in which daemons announce output.
-func (d *Daemon) refutationTime() time.Duration {
-	return minRefutationTime + announcer.Interval(len(d.shares.Peers()))
+// announcementDelay is one interval between notices.
+func (d *Daemon) announcementDelay() time.Duration {
+	return announcer.Interval(len(d.shares.Peers()))
 }
 
 // publishSuspects announces requests that have crashed upstreams to the other daemons.
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -8,8 +8,14 @@
 )
 
 const (
-	// defaultRefutationTime is the default of Config.RefutationTime.
-	defaultRefutationTime = 2 * time.Second
+	// refutationTime is how long after its first crash a part is not quarantined yet, so that
+	// output of other requests can refute that the part is the cause. It covers the crash of
+	// many upstreams at the same moment.
+	refutationTime = 2 * time.Second
+	// minRetestDelay is the time after the last crash from which one request of the fleet may
+	// test a part that crashed MaxCrashes upstreams. It doubles with each further crash, up
+	// to SuspicionPeriod.
+	minRetestDelay = 10 * time.Second
 	// sameCrash is the time within which several reports of an upstream's crash are one crash.
 	// Upstreams need longer to restart.
 	sameCrash = time.Second
@@ -23,7 +29,9 @@
 type crashTimes struct {
 	lifts int
 	first time.Time
-	last  map[string]time.Time // by upstream
+	// reached is when it learned of MaxCrashes crashes, or zero.
+	reached time.Time
+	last    map[string]time.Time // by upstream
 }
 
 // partMarker distinguishes the digests of parts from those of requests.
@@ -38,22 +46,35 @@
 }
 
 // partVerdict returns Quarantined for a part that crashed MaxCrashes upstreams without any
-// output in between. Once SuspicionPeriod has passed without a crash, one request at a time
-// may be executed with a permit.
-func (q *Quarantiner) partVerdict(now time.Time, r *Record, recent bool) Verdict {
+// output in between. After retestDelay without a crash, one request at a time may be executed
+// with a permit.
+func (q *Quarantiner) partVerdict(now time.Time, r *Record) Verdict {
 	if len(r.CrashedUpstreams) < q.config.MaxCrashes || !r.Confirmed && !q.refutationEnded(now, r.Digest) {
 		return Clear
 	}
-	if recent {
+	if now.Unix()-r.LastCrash <= int64(q.retestDelay(r).Seconds()) {
 		return Quarantined
 	}
 	return Suspect
 }
 
-// refutationEnded reports whether RefutationTime has passed since the first crash of a part.
+// refutationEnded reports whether output that refutes the crashes of a part would be known
+// here by now.
 func (q *Quarantiner) refutationEnded(now time.Time, d Digest) bool {
-	l := q.crashTimes[d]
-	return l != nil && now.Sub(l.first) >= q.config.RefutationTime()
+	t := q.crashTimes[d]
+	if t == nil || t.reached.IsZero() {
+		return false
+	}
+	delay := q.config.AnnouncementDelay()
+	return now.Sub(t.first) >= refutationTime+delay && now.Sub(t.reached) >= delay
+}
+
+func (q *Quarantiner) retestDelay(r *Record) time.Duration {
+	delay := minRetestDelay
+	for n := q.config.MaxCrashes; n < len(r.CrashedUpstreams) && delay < q.config.SuspicionPeriod; n++ {
+		delay *= 2
+	}
+	return min(delay, q.config.SuspicionPeriod)
 }
 
 // CheckParts returns the strictest verdict on the parts of a request, and the digest that it is
@@ -101,7 +122,7 @@
 	var changed []Record
 	q.mu.Lock()
 	for _, d := range parts {
-		if l := q.crashTimes[d]; l != nil && now.Sub(l.last[upstream]) < sameCrash {
+		if t := q.crashTimes[d]; t != nil && now.Sub(t.last[upstream]) < sameCrash {
 			continue
 		}
 		record := q.records[d]
@@ -127,15 +148,18 @@
 		delete(q.crashTimes, r.Digest)
 		return
 	}
-	l := q.crashTimes[r.Digest]
-	if l == nil || l.lifts != r.Lifts {
-		l = &crashTimes{lifts: r.Lifts, first: now, last: make(map[string]time.Time)}
-		q.crashTimes[r.Digest] = l
+	t := q.crashTimes[r.Digest]
+	if t == nil || t.lifts != r.Lifts {
+		t = &crashTimes{lifts: r.Lifts, first: now, last: make(map[string]time.Time)}
+		q.crashTimes[r.Digest] = t
+	}
+	if t.reached.IsZero() && len(r.CrashedUpstreams) >= q.config.MaxCrashes {
+		t.reached = now
 	}
 	known := q.records[r.Digest].CrashedUpstreams
 	for _, upstream := range r.CrashedUpstreams {
-		if _, ok := l.last[upstream]; !ok || count(r.CrashedUpstreams, upstream) > count(known, upstream) {
-			l.last[upstream] = now
+		if _, ok := t.last[upstream]; !ok || count(r.CrashedUpstreams, upstream) > count(known, upstream) {
+			t.last[upstream] = now
 		}
 	}
 }
--- a/quarantiner/part_test.go
+++ b/quarantiner/part_test.go
@@ -59,7 +59,12 @@
 				q.PartsCrashed(start.Add(i*2*time.Second), partDigests(crashing), "i-0")
 			}
 		}, 10 * time.Second, Quarantined},
-		{"no crash for the suspicion period", func(q *Quarantiner) { reportCrashes(q, 0, time.Second, 2*time.Second) }, 2 * time.Minute, Suspect},
+		{"shortly before a test is due", func(q *Quarantiner) { reportCrashes(q, 0, time.Second, 2*time.Second) }, 12 * time.Second, Quarantined},
+		{"a test is due", func(q *Quarantiner) { reportCrashes(q, 0, time.Second, 2*time.Second) }, 13 * time.Second, Suspect},
+		{"a test is due later after another crash", func(q *Quarantiner) {
+			reportCrashes(q, 0, time.Second, 2*time.Second, 20*time.Second)
+		}, 40 * time.Second, Quarantined},
+		{"no crash for the suspicion period", func(q *Quarantiner) { reportCrashes(q, 0, 0, 0, 0, 0, 0, 0, 0) }, 61 * time.Second, Suspect},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -73,6 +78,18 @@
 	}
 }
 
+// Output at another daemon becomes known only after a delay. A part must not be quarantined
+// before, neither soon after its first crash nor soon after the last one.
+func TestQuarantineWaitsForAnnouncements(t *testing.T) {
+	const delay = time.Second
+	q := New(Config{AnnouncementDelay: func() time.Duration { return delay }})
+	reportCrashes(q, 0, 3*time.Second, 6*time.Second)
+	require.Equal(t, Clear, q.checkPart(start.Add(6*time.Second+delay/2), PartDigest(crashing)))
+	q.Merge(start.Add(6*time.Second+delay/2), []Record{{Digest: PartDigest(shared), Part: true, Lifts: 1}})
+	require.Equal(t, Quarantined, q.checkPart(start.Add(6*time.Second+delay), PartDigest(crashing)))
+	require.Equal(t, Clear, q.checkPart(start.Add(time.Minute), PartDigest(shared)))
+}
+
 // Each daemon sees only the crashes and the output of its own requests. Their records have to
 // add up to a quarantine, and output at one daemon must end the suspicion at all.
 func TestDaemonsCombineWhatTheyKnowOfParts(t *testing.T) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -117,10 +117,9 @@
 	MaxCrashes int
 	// SuspicionPeriod is how long a request stays a suspect without a further crash.
 	SuspicionPeriod time.Duration
-	// RefutationTime returns how long after its first crash a part is not quarantined yet, so
-	// that output of other requests can refute that the part is the cause. It covers the crash
-	// of many upstreams at the same moment, and the time until other daemons announce output.
-	RefutationTime func() time.Duration
+	// AnnouncementDelay returns how long it takes until other daemons learn what one
+	// broadcasts. Nil means no time.
+	AnnouncementDelay func() time.Duration
 	// MaxRecords is the number of records above which those with verdict Clear are dropped.
 	MaxRecords int
 	// Recorder counts verdicts. Nil discards them.
@@ -152,8 +151,8 @@
 	if c.SuspicionPeriod <= 0 {
 		c.SuspicionPeriod = defaultSuspicionPeriod
 	}
-	if c.RefutationTime == nil {
-		c.RefutationTime = func() time.Duration { return defaultRefutationTime }
+	if c.AnnouncementDelay == nil {
+		c.AnnouncementDelay = func() time.Duration { return 0 }
 	}
 	if c.MaxRecords <= 0 {
 		c.MaxRecords = defaultMaxRecords
@@ -215,7 +214,7 @@
 	recent := now.Unix()-r.LastCrash <= int64(q.config.SuspicionPeriod.Seconds())
 	switch {
 	case r.Part:
-		return q.partVerdict(now, r, recent)
+		return q.partVerdict(now, r)
 	case len(r.CrashedUpstreams) >= q.config.MaxCrashes && (recent || r.ExclusiveCrashes > 0):
 		return Quarantined
 	case len(r.CrashedUpstreams) >= q.config.MaxCrashes:
