throttler: record the request limits that upstreams state

The logs did not show whether a daemon knows the limit. Adds the event upstream_limited and the counters throttler.first and throttler.retry; a response without a limit ends it only if its request was sent after the limit was last stated, as responses overtake each other. No change of logic: the choice of upstreams does not look at the limit yet. Ruled out: nothing yet. Tests: throttler, platform, forwarder, launcher pass.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"laburnumline/recorder"
+	"laburnumline/throttler"
 )
 
 const (
@@ -60,6 +61,8 @@
 	// HasLoad is true if Running, Waiting and Slots hold the load of the upstream.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// RequestLimit is the request limit that the upstream states.
+	RequestLimit throttler.Limit
 }
 
 // Call is one request to an upstream.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -11,8 +11,10 @@
 	"laburnumline/framer"
 	"laburnumline/recorder"
 	"laburnumline/refuser"
+	"laburnumline/registrar"
 	"laburnumline/retrier"
 	"laburnumline/sleeper"
+	"laburnumline/throttler"
 )
 
 // failure describes an attempt that did not complete the request.
@@ -117,11 +119,13 @@
 	eventsBefore := x.eventCount
 	x.firstOutput, x.served = time.Time{}, false
 	x.permitUpstream = choice.Upstream.Name
+	sentAt := time.Now()
 	response, err := f.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
 	var failed *failure
 	if err != nil {
 		failed = x.sendFailure(err)
 	} else {
+		x.recordLimit(&choice.Upstream, sentAt, response)
 		if response.Metadata.HasLoad {
 			result.Load = &balancer.Load{Running: response.Metadata.Running, Waiting: response.Metadata.Waiting, Slots: response.Metadata.Slots}
 		}
@@ -145,6 +149,12 @@
 	return failed
 }
 
+func (x *exchange) recordLimit(u *registrar.Upstream, sentAt time.Time, response *connector.Response) {
+	x.forwarder.config.Limits.Record(throttler.IDOf(string(u.Name), u.StartedAtMs), throttler.Response{
+		Upstream: string(u.Name), SentAt: sentAt, ReceivedAt: time.Now(), Retry: x.sends > 0, Limit: response.Metadata.RequestLimit,
+	})
+}
+
 func (x *exchange) upstreamCall(choice balancer.Choice) *connector.Call {
 	header := x.request.Header.Clone()
 	resumeAfter := x.lastEventID
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -39,6 +39,7 @@
 	"laburnumline/registrar"
 	"laburnumline/resolver"
 	"laburnumline/retrier"
+	"laburnumline/throttler"
 )
 
 // Request is a request of a caller.
@@ -109,12 +110,18 @@
 	Decide(now time.Time, account contractor.Account, target string, attempt int, deadline time.Time, f retrier.Failure) retrier.Decision
 }
 
+// Limits records the request limits that upstreams state.
+type Limits interface {
+	Record(id throttler.ID, r throttler.Response)
+}
+
 // Config holds the dependencies of a Forwarder.
 type Config struct {
 	Tables     Tables
 	Upstreams  Upstreams
 	Budgets    Budgets
 	Balancer   Balancer
+	Limits     Limits
 	Sender     Sender
 	Retries    Retries
 	Quarantine Quarantine
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -25,6 +25,7 @@
 	"laburnumline/registrar"
 	"laburnumline/resolver"
 	"laburnumline/retrier"
+	"laburnumline/throttler"
 )
 
 // fakeResponse is how a fake upstream responds to one call.
@@ -132,7 +133,7 @@
 
 func (s *fakeUpstreams) forwarder() *Forwarder {
 	return New(Config{
-		Tables: s, Upstreams: s, Budgets: s, Balancer: balancer.New(balancer.Config{}), Sender: s, Recorder: s.rec,
+		Tables: s, Upstreams: s, Budgets: s, Balancer: balancer.New(balancer.Config{}), Limits: throttler.New(throttler.Config{}), Sender: s, Recorder: s.rec,
 		Retries: retrier.New(retrier.Config{TargetRatio: 10, AccountRatio: 10, Burst: 10}), Random: func() float64 { return 0 }, Quarantine: s.quarantine,
 		Probe: func(context.Context, netip.AddrPort) error {
 			if s.probeFails {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -46,6 +46,7 @@
 	"laburnumline/replicator"
 	"laburnumline/resolver"
 	"laburnumline/retrier"
+	"laburnumline/throttler"
 	"laburnumline/timekeeper"
 	"laburnumline/transferrer"
 )
@@ -139,6 +140,7 @@
 	registrar               *registrar.Registrar
 	shares                  *apportioner.Apportioner
 	balancer                *balancer.Balancer
+	throttler               *throttler.Throttler
 	pool                    *connector.Pool
 	link                    *gauger.Gauger
 	combiner                *combiner.Combiner
@@ -178,6 +180,7 @@
 		Store: d.store, Name: s.Name, Address: s.InternalAddress, LinkBandwidth: s.LinkBytesPerSecond, Incarnation: d.incarnation, RequestTransfer: d.requestTransfer, Recorder: rec,
 		BootClock: timekeeper.Read,
 	})
+	d.throttler = throttler.New(throttler.Config{Recorder: rec})
 	d.balancer = balancer.New(balancer.Config{Zone: s.Zone})
 	d.pool = connector.New(connector.Config{
 		Dial: dial, ReadMetadata: c.Adapter.ParseResponseHeader, Recorder: rec,
@@ -201,7 +204,7 @@
 	}
 	d.forwarder = forwarder.New(forwarder.Config{
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dial, address) },
-		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Sender: d.pool,
+		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Sender: d.pool,
 		Retries:     retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
 		SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
 	})
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -24,6 +24,9 @@
 	QuarantineNotStored Code = 2107
 	// QuarantineNotLoaded is logged when a starting daemon cannot load the quarantines.
 	QuarantineNotLoaded Code = 2108
+	// UpstreamLimited is logged when an upstream states another request limit than before, or none
+	// any more.
+	UpstreamLimited Code = 2003
 	// OrderFailed is logged when an engine fails to execute an order, such as to load a model.
 	OrderFailed Code = 2201
 	// UpstreamListed is logged when the entry of an upstream appears or changes its state.
@@ -48,6 +51,7 @@
 var _ = declare(eventNames{
 	UpstreamEjected:     "upstream_ejected",
 	UpstreamRecovered:   "upstream_recovered",
+	UpstreamLimited:     "upstream_limited",
 	RequestSuspected:    "request_suspected",
 	RequestQuarantined:  "request_quarantined",
 	SuspectsNotShared:   "suspects_not_shared",
