throttler, balancer: the fleet keeps the request limits of upstreams

Cause: nothing evaluated Server-Limit; the choice of an upstream knew load, prompt cache and failures only. Ruled out: limits kept by each daemon for itself (the rates did not change at all when the limit was stated); retries and started daemons (there were none at these upstreams). Change: shares of a limit by rendezvous hashing: as many owners as it has whole requests a second divide three quarters, the other daemons share a quarter as single permissions that lapse. Limits travel in notices, at once when they change. A limit that was not restated for 5 s attracts the next request. All requests, also retries, resumed streams and tests of ejected upstreams, choose their upstream there. If all upstreams of a service are limited, the rest is refused at once.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -5,7 +5,8 @@
 // datagram, a notice: how much work it has at which upstream, and which prompt parts it has
 // sent where. A prompt part is one identified segment of a prompt's prefix. A notice also
 // carries suspects, which are requests that have crashed upstreams (package quarantiner),
-// and the store revisions that the daemon knows.
+// request limits of upstreams (package throttler), and the store revisions that the daemon
+// knows.
 //
 // Notices are hints: they improve decisions, but correctness does not depend on them. Each
 // replaces the one before, which makes a lost notice harmless. They are sent over plain UDP
@@ -31,6 +32,7 @@
 	"laburnumline/contractor"
 	"laburnumline/quarantiner"
 	"laburnumline/recorder"
+	"laburnumline/throttler"
 )
 
 const (
@@ -46,6 +48,8 @@
 	// datagram.
 	maxPlacements = 48
 	maxLoads      = 64
+	// maxLimits limits the request limits in one notice to half a datagram.
+	maxLimits = 24
 )
 
 // Load is the work of one daemon at one upstream.
@@ -74,6 +78,8 @@
 	Placed   []Placement
 	// Suspects are requests that have crashed upstreams.
 	Suspects []quarantiner.Record
+	// Limits are the request limits that upstreams have stated to the daemon.
+	Limits []throttler.Report
 	// Revisions are the latest store revisions of the key prefixes that the daemon
 	// follows, in an order that is the same on all daemons.
 	Revisions []contractor.Revision
@@ -96,6 +102,13 @@
 	Merge(now time.Time, records []quarantiner.Record)
 }
 
+// Limits provides the request limits that upstreams have stated to this daemon, and learns
+// those that they have stated to others.
+type Limits interface {
+	Collect(now time.Time, max int) []throttler.Report
+	Merge(now time.Time, reports []throttler.Report)
+}
+
 // Sink receives the notices of other daemons.
 type Sink interface {
 	Receive(now time.Time, n *Notice)
@@ -112,6 +125,7 @@
 	Source      Source
 	Sink        Sink
 	Suspects    Suspects
+	Limits      Limits
 	Revisions   Revisions
 	Recorder    *recorder.Recorder
 }
@@ -161,9 +175,13 @@
 		return cmp.Compare(urgency(&y.record), urgency(&x.record))
 	})
 	a.pendingSuspects = a.pendingSuspects[:min(len(a.pendingSuspects), maxPendingSuspects)]
-	if !slices.ContainsFunc(records, func(r quarantiner.Record) bool { return urgency(&r) == severalCrashes }) {
-		return
+	if slices.ContainsFunc(records, func(r quarantiner.Record) bool { return urgency(&r) == severalCrashes }) {
+		a.Hasten()
 	}
+}
+
+// Hasten makes the announcer send the next notice within minInterval.
+func (a *Announcer) Hasten() {
 	select {
 	case a.urgent <- struct{}{}:
 	default:
@@ -256,12 +274,12 @@
 
 func (a *Announcer) send(peers []netip.AddrPort) {
 	loads, placements := a.config.Source.Collect(maxLoads, maxPlacements)
-	suspects := a.nextSuspects()
-	if len(peers) == 0 || len(loads)+len(placements)+len(suspects) == 0 {
+	suspects, limits := a.nextSuspects(), a.config.Limits.Collect(time.Now(), maxLimits)
+	if len(peers) == 0 || len(loads)+len(placements)+len(suspects)+len(limits) == 0 {
 		return
 	}
 	datagrams, err := a.encode(Notice{
-		From: a.config.Incarnation, Loads: loads, Placed: placements, Suspects: suspects, Revisions: a.config.Revisions.Revisions(),
+		From: a.config.Incarnation, Loads: loads, Placed: placements, Suspects: suspects, Limits: limits, Revisions: a.config.Revisions.Revisions(),
 	})
 	if err != nil {
 		a.config.Recorder.Event(recorder.NoticeFailed, "step", "encode", "err", err)
@@ -287,13 +305,14 @@
 	if len(datagram) <= maxNoticeBytes {
 		return [][]byte{datagram}, nil
 	}
-	if len(n.Loads) <= 1 && len(n.Placed) <= 1 && len(n.Suspects) <= 1 {
+	if len(n.Loads) <= 1 && len(n.Placed) <= 1 && len(n.Suspects) <= 1 && len(n.Limits) <= 1 {
 		return nil, fmt.Errorf("a notice of %d bytes cannot be split", len(datagram))
 	}
 	first, second := n, n
 	first.Loads, second.Loads = halves(n.Loads)
 	first.Placed, second.Placed = halves(n.Placed)
 	first.Suspects, second.Suspects = halves(n.Suspects)
+	first.Limits, second.Limits = halves(n.Limits)
 	datagrams, err := a.encode(first)
 	if err != nil {
 		return nil, err
@@ -323,6 +342,9 @@
 		if a.accept(&notice) {
 			a.config.Sink.Receive(time.Now(), &notice)
 			a.config.Revisions.Learn(notice.Revisions)
+			if len(notice.Limits) > 0 {
+				a.config.Limits.Merge(time.Now(), notice.Limits)
+			}
 			if len(notice.Suspects) > 0 {
 				a.config.Suspects.Merge(time.Now(), notice.Suspects)
 			}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -18,6 +18,9 @@
 // Requests to plain services, which have no engine, go to the upstream with the fewest
 // requests, with a preference for the own availability zone.
 //
+// Upstreams that state a request limit (package throttler) get no request that would exceed
+// it, even if all others are ejected.
+//
 // Upstreams that fail are ejected for a time that doubles with each consecutive failure. If
 // more than half of a service would be ejected, all its upstreams are used again, because a
 // fault that all of them show must not leave the service without upstreams.
@@ -40,6 +43,7 @@
 
 	"laburnumline/announcer"
 	"laburnumline/registrar"
+	"laburnumline/throttler"
 )
 
 // Part is a prompt part. Requests with a common prefix share parts.
@@ -109,6 +113,9 @@
 	prefill time.Duration
 	// started is true once the response has started.
 	started bool
+	// RetryAfter is set if no upstream was chosen because all state request limits: the mean
+	// time until one of them accepts another request.
+	RetryAfter time.Duration
 }
 
 const (
@@ -138,9 +145,19 @@
 	loadLifetime = time.Second
 )
 
+// Limits keeps the request limits that upstreams state.
+type Limits interface {
+	Allows(now time.Time, id throttler.ID) bool
+	Take(now time.Time, id throttler.ID) bool
+	IsStale(now time.Time, id throttler.ID) bool
+	LimitOf(id throttler.ID) throttler.Limit
+}
+
 // Config holds what a Balancer needs.
 type Config struct {
 	Zone string // availability zone of the daemon
+	// Limits may be nil, in which case no upstream states a limit.
+	Limits Limits
 }
 
 // Balancer holds the state of all upstreams as one daemon knows it. It is safe for concurrent
@@ -157,6 +174,7 @@
 // upstreamState is the state of one upstream.
 type upstreamState struct {
 	hash        uint64
+	limitID     throttler.ID
 	startedAtMs int64
 	inFlight    int
 	// prefill is the prefill time of the requests whose response has not started.
@@ -179,6 +197,9 @@
 
 // New returns a Balancer without state.
 func New(c Config) *Balancer {
+	if c.Limits == nil {
+		c.Limits = throttler.New(throttler.Config{})
+	}
 	return &Balancer{config: c, states: make(map[registrar.Name]*upstreamState), byHash: make(map[uint32]*upstreamState)}
 }
 
@@ -186,7 +207,7 @@
 	s := b.states[u.Name]
 	if s == nil || s.startedAtMs != u.StartedAtMs {
 		s = &upstreamState{
-			hash: xxhash.Sum64String(string(u.Name)), startedAtMs: u.StartedAtMs,
+			hash: xxhash.Sum64String(string(u.Name)), startedAtMs: u.StartedAtMs, limitID: u.LimitID(),
 			parts: make(map[uint64]time.Time), others: make(map[uint32]remoteLoad),
 		}
 		b.states[u.Name] = s
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"laburnumline/announcer"
 	"laburnumline/registrar"
+	"laburnumline/throttler"
 )
 
 func upstreams(n int) []registrar.Upstream {
@@ -177,3 +179,45 @@
 	b.End(now, &fresh, Result{})
 	require.Zero(t, b.states["i-0"].inFlight)
 }
+
+// A fault of all other upstreams, or a crowded one, must not send more requests to an upstream
+// than its limit allows, and the refusal says when one of the service accepts another.
+func TestLimitHoldsThoughOthersAreEjected(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := throttler.New(throttler.Config{})
+	b := New(Config{Limits: limits})
+	list := upstreams(5)
+	for i := range list[1:] {
+		c, _ := b.Choose(now, Query{Candidates: list[i+1 : i+2]})
+		b.End(now, &c, Result{Outcome: Unreachable})
+	}
+	stated := throttler.Response{SentAt: now, ReceivedAt: now, Limit: throttler.Limit{Stated: true, Rate: 0.5}}
+	limits.Record(list[0].LimitID(), stated)
+	c, ok := b.Choose(now, Query{Candidates: list})
+	require.True(t, ok)
+	require.NotEqual(t, list[0].Name, c.Upstream.Name)
+	c, ok = b.Choose(now, Query{Candidates: list[:1]})
+	require.False(t, ok)
+	require.Equal(t, 2*time.Second, c.RetryAfter)
+	later := now.Add(2500 * time.Millisecond)
+	_, ok = b.Choose(later, Query{Candidates: list[:1]})
+	require.True(t, ok)
+	_, ok = b.Choose(later, Query{Candidates: list[:1]})
+	require.False(t, ok)
+}
+
+// Only a response shows that a limit has ended. An upstream whose cached parts are elsewhere by
+// then gets a request all the same.
+func TestStaleLimitIsRechecked(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := throttler.New(throttler.Config{})
+	b := New(Config{Limits: limits})
+	q := prompt(7)
+	preferred, _ := b.Choose(now, q)
+	other := slices.IndexFunc(q.Candidates, func(u registrar.Upstream) bool { return u.Name != preferred.Upstream.Name })
+	limits.Record(q.Candidates[other].LimitID(), throttler.Response{SentAt: now, ReceivedAt: now, Limit: throttler.Limit{Stated: true, Rate: 1}})
+	c, _ := b.Choose(now.Add(3*time.Second), q)
+	require.Equal(t, preferred.Upstream.Name, c.Upstream.Name)
+	c, _ = b.Choose(now.Add(6*time.Second), q)
+	require.Equal(t, q.Candidates[other].Name, c.Upstream.Name)
+}
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -14,16 +14,22 @@
 	state    *upstreamState
 	requests float64
 	weight   uint64
+	// staleLimit is true if a request has to show whether the upstream still has a limit.
+	staleLimit bool
 }
 
 // Choose returns the upstream for a request and counts the request there until End. It
-// reports false if no upstream is left.
+// reports false if no upstream is left; RetryAfter of the choice is then set if their request
+// limits are the reason.
 func (b *Balancer) Choose(now time.Time, q Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
-		return Choice{}, false
+		return Choice{RetryAfter: b.limitRetryAfter(q)}, false
+	}
+	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.staleLimit }); i >= 0 {
+		candidates = candidates[i : i+1]
 	}
 	var best *candidate
 	var prefill time.Duration
@@ -32,6 +38,7 @@
 	} else {
 		best = b.fewestRequests(candidates)
 	}
+	b.config.Limits.Take(now, best.state.limitID)
 	b.begin(now, best.state, q, prefill)
 	return Choice{Upstream: *best.upstream, prefill: prefill}, true
 }
@@ -68,7 +75,7 @@
 // last one.
 func sharedParts(parts []Part) []Part { return parts[:max(len(parts)-1, 0)] }
 
-// candidates returns the upstreams that may be chosen. Ejected ones are included only if
+// candidates returns the upstreams that may be chosen: those whose request limits allow it. Ejected ones are included only if
 // there are no others, or if more than half of more than three upstreams are ejected.
 func (b *Balancer) candidates(now time.Time, q Query) []candidate {
 	var available, ejected []candidate
@@ -78,8 +85,12 @@
 			continue
 		}
 		s := b.state(u)
-		c := candidate{upstream: u, state: s, requests: s.requests(now)}
+		if !b.config.Limits.Allows(now, s.limitID) {
+			continue
+		}
+		c := candidate{upstream: u, state: s, requests: s.requests(now), staleLimit: b.config.Limits.IsStale(now, s.limitID)}
 		if s.isEjected(now) {
+			c.staleLimit = false
 			ejected = append(ejected, c)
 		} else {
 			available = append(available, c)
@@ -94,6 +105,30 @@
 	return available
 }
 
+const (
+	minLimitRetryAfter = 100 * time.Millisecond
+	maxLimitRetryAfter = 5 * time.Second
+)
+
+// limitRetryAfter returns the mean time until a candidate accepts another request of the
+// fleet, or zero if none states a limit. Another daemon may have the share that allows it.
+func (b *Balancer) limitRetryAfter(q Query) time.Duration {
+	stated, rate := false, 0.0
+	for i := range q.Candidates {
+		if limit := b.config.Limits.LimitOf(b.state(&q.Candidates[i]).limitID); limit.Stated {
+			stated = true
+			rate += limit.Rate
+		}
+	}
+	if !stated {
+		return 0
+	}
+	if rate*maxLimitRetryAfter.Seconds() <= 1 {
+		return maxLimitRetryAfter
+	}
+	return max(time.Duration(float64(time.Second)/rate), minLimitRetryAfter)
+}
+
 func (s *upstreamState) isEjected(now time.Time) bool {
 	return !s.ejectedUntil.IsZero() && (now.Before(s.ejectedUntil) || s.trial)
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -42,7 +42,7 @@
 		now := time.Now()
 		choice, ok := f.Balancer.Choose(now, x.query())
 		if !ok {
-			return x.finalRefusal(refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(unavailableRetryAfter))
+			return x.finalRefusal(noUpstream(choice.RetryAfter))
 		}
 		failed := x.attempt(ctx, choice)
 		if failed == nil {
@@ -72,6 +72,15 @@
 	}
 }
 
+// noUpstream returns the refusal of a request for which no upstream is left. limitRetryAfter is
+// set if this is due to request limits.
+func noUpstream(limitRetryAfter time.Duration) *refuser.Refusal {
+	if limitRetryAfter > 0 {
+		return refuser.New(refuser.UpstreamLimited, "choose").WithRetryAfter(limitRetryAfter)
+	}
+	return refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(unavailableRetryAfter)
+}
+
 // attemptsRemain reports whether the route allows another attempt. After a send that was
 // certainly not executed, it allows up to maxNotExecutedSends sends beyond the route's
 // attempts.
@@ -150,7 +159,7 @@
 }
 
 func (x *exchange) recordLimit(u *registrar.Upstream, sentAt time.Time, response *connector.Response) {
-	x.forwarder.config.Limits.Record(throttler.IDOf(string(u.Name), u.StartedAtMs), throttler.Response{
+	x.forwarder.config.Limits.Record(u.LimitID(), throttler.Response{
 		Upstream: string(u.Name), SentAt: sentAt, ReceivedAt: time.Now(), Retry: x.sends > 0, Limit: response.Metadata.RequestLimit,
 	})
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -180,8 +180,8 @@
 		Store: d.store, Name: s.Name, Address: s.InternalAddress, LinkBandwidth: s.LinkBytesPerSecond, Incarnation: d.incarnation, RequestTransfer: d.requestTransfer, Recorder: rec,
 		BootClock: timekeeper.Read,
 	})
-	d.throttler = throttler.New(throttler.Config{Recorder: rec})
-	d.balancer = balancer.New(balancer.Config{Zone: s.Zone})
+	d.throttler = throttler.New(throttler.Config{Self: s.InternalAddress, Members: d.knownPeers, Changed: d.hastenNotice, Recorder: rec})
+	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler})
 	d.pool = connector.New(connector.Config{
 		Dial: dial, ReadMetadata: c.Adapter.ParseResponseHeader, Recorder: rec,
 	})
@@ -230,6 +230,18 @@
 	return announcer.Interval(len(d.shares.Peers()))
 }
 
+// knownPeers returns the addresses of the other daemons, and reports whether they are known.
+func (d *Daemon) knownPeers() ([]netip.AddrPort, bool) {
+	return d.shares.Peers(), d.shares.Registered()
+}
+
+// hastenNotice makes the next notice to the other daemons early.
+func (d *Daemon) hastenNotice() {
+	if a := d.announcer.Load(); a != nil {
+		a.Hasten()
+	}
+}
+
 // publishSuspects announces requests that have crashed upstreams to the other daemons.
 func (d *Daemon) publishSuspects(records []quarantiner.Record) {
 	if a := d.announcer.Load(); a != nil {
@@ -301,7 +313,7 @@
 	}
 	a, err := announcer.New(announcer.Config{
 		Address: d.config.Settings.InternalAddress, Peers: d.shares.Peers, Incarnation: uint32(d.incarnation),
-		Source: d.balancer, Sink: d.balancer, Suspects: d.quarantiner, Revisions: d, Recorder: d.config.Recorder,
+		Source: d.balancer, Sink: d.balancer, Suspects: d.quarantiner, Limits: d.throttler, Revisions: d, Recorder: d.config.Recorder,
 	})
 	if err != nil {
 		d.config.Recorder.Event(recorder.NoticeFailed, "step", "listen", "err", err)
@@ -381,6 +393,7 @@
 	}
 	d.cleanedGeneration = generation
 	d.balancer.RemoveUnlisted(d.registrar.Listed)
+	d.throttler.Retain(d.registrar.LimitIDs())
 	d.pool.CloseExcept(d.registrar.Addresses())
 }
 
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -65,6 +65,7 @@
 	DeadlineExceeded
 	NoRoute
 	SlowRequest
+	UpstreamLimited
 	reasonCount
 )
 
@@ -102,6 +103,7 @@
 	DeadlineExceeded:     {"deadline_exceeded", http.StatusGatewayTimeout},
 	NoRoute:              {"no_route", http.StatusNotFound},
 	SlowRequest:          {"slow_request", http.StatusRequestTimeout},
+	UpstreamLimited:      {"upstream_limited", http.StatusServiceUnavailable},
 }
 
 // String returns the name used in responses and metrics.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -22,6 +22,7 @@
 	"laburnumline/persister"
 	"laburnumline/recorder"
 	"laburnumline/resolver"
+	"laburnumline/throttler"
 )
 
 // Name identifies one upstream.
@@ -44,6 +45,9 @@
 	StartedAtMs int64
 }
 
+// LimitID returns the ID under which the request limit of the upstream is kept.
+func (u *Upstream) LimitID() throttler.ID { return throttler.IDOf(string(u.Name), u.StartedAtMs) }
+
 const (
 	// recoveryTime is how long the store may lack entries of live upstreams after it
 	// has recovered, which the users give as about two seconds.
@@ -127,6 +131,20 @@
 	return all
 }
 
+// LimitIDs returns the IDs under which the request limits of the upstreams in the list are kept,
+// including draining ones.
+func (r *Registrar) LimitIDs() map[throttler.ID]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make(map[throttler.ID]bool, len(r.entries))
+	for _, e := range r.entries {
+		if e.valid {
+			all[e.upstream.LimitID()] = true
+		}
+	}
+	return all
+}
+
 // Generation returns a number that increases with each update of the list.
 func (r *Registrar) Generation() int64 { return r.generation.Load() }
 
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -5,14 +5,28 @@
 // Responses can overtake each other: one without a limit, or with a higher one, counts only
 // if its request was sent after the limit was last stated.
 //
-//	t := throttler.New(throttler.Config{Recorder: rec})
+// The daemons keep a limit together without asking each other for each request. A few of
+// them, the owners, divide most of the rate; rendezvous hashing determines them, in the same
+// way on every daemon that knows the same members. A rate of less than two requests per
+// second has one owner, because each owner may send one request at any time and all of these
+// may come at once. The remaining daemons share what is left as rare permissions for a single
+// request, so that each of them sees the end of the limit although notices may be lost.
+// Daemons tell each other of limits in their notices (package announcer).
+//
+//	t := throttler.New(throttler.Config{Self: address, Members: members, Recorder: rec})
 //	id := throttler.IDOf("i-7", startedAtMs)
+//	if t.Allows(now, id) {
+//		t.Take(now, id) // and send the request
+//	}
 //	t.Record(id, throttler.Response{Upstream: "i-7", SentAt: sentAt, ReceivedAt: now, Limit: limit})
 package throttler
 
 import (
 	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,35 +67,73 @@
 
 // Config holds what a Throttler needs.
 type Config struct {
+	// Self is the address of this daemon among Members.
+	Self netip.AddrPort
+	// Members returns the addresses of the other daemons of the fleet. It reports false while
+	// they are not known; the daemon then sends nothing to upstreams with a limit. Nil means
+	// that there are no others.
+	Members func() ([]netip.AddrPort, bool)
+	// Changed is called when an upstream has stated another limit than before. Nil means that
+	// nobody needs to know.
+	Changed func()
+	// Random returns numbers from 0 to below 1. Nil means math/rand/v2.
+	Random   func() float64
 	Recorder *recorder.Recorder
 }
 
 // Throttler holds the limits of all upstreams. It is safe for concurrent use.
 type Throttler struct {
 	config Config
+	// limited is the number of upstreams with a limit.
+	limited atomic.Int64
 
-	mu     sync.Mutex
-	limits map[ID]*state
+	mu      sync.Mutex
+	limits  map[ID]*state
+	members members
 }
 
-// state is the limit of one upstream.
+// state is the limit of one upstream and the share of this daemon.
 type state struct {
 	limit Limit
 	// statedAt is when the limit was last stated, or when the request was sent whose response
 	// ended it.
 	statedAt time.Time
+	share    share
+	// announcements is the number of notices that are still to carry the limit.
+	announcements int
 }
 
 // New returns a Throttler without limits.
-func New(c Config) *Throttler { return &Throttler{config: c, limits: make(map[ID]*state)} }
+func New(c Config) *Throttler {
+	if c.Members == nil {
+		c.Members = func() ([]netip.AddrPort, bool) { return nil, true }
+	}
+	if c.Changed == nil {
+		c.Changed = func() {}
+	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	return &Throttler{config: c, limits: make(map[ID]*state)}
+}
 
 // Record records what a response says about the limit of its upstream.
 func (t *Throttler) Record(id ID, r Response) {
+	if !r.Limit.Stated && t.limited.Load() == 0 {
+		return
+	}
+	if t.record(id, r) {
+		t.config.Changed()
+	}
+}
+
+// record reports whether the limit has changed.
+func (t *Throttler) record(id ID, r Response) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.limits[id]
-	if s == nil && !r.Limit.Stated {
-		return
+	if !r.Limit.Stated && (s == nil || !s.limit.Stated) {
+		return false
 	}
 	if s == nil {
 		s = &state{}
@@ -93,14 +145,34 @@
 	statedAt := r.ReceivedAt
 	if !r.Limit.Stated || s.limit.Stated && r.Limit.Rate > s.limit.Rate {
 		if statedAt = r.SentAt; !statedAt.After(s.statedAt) {
-			return
+			return false
 		}
 	}
-	if r.Limit != s.limit {
-		t.config.Recorder.Event(recorder.UpstreamLimited, "upstream", r.Upstream, "limited", r.Limit.Stated, "rate", r.Limit.Rate,
-			"previous_limited", s.limit.Stated, "previous_rate", s.limit.Rate, "took", r.ReceivedAt.Sub(r.SentAt))
+	previous := s.limit
+	t.set(s, r.Limit, statedAt)
+	s.announcements = announcementsPerLimit
+	if r.Limit == previous {
+		return false
 	}
-	s.limit, s.statedAt = r.Limit, statedAt
+	t.config.Recorder.Event(recorder.UpstreamLimited, "upstream", r.Upstream, "limited", r.Limit.Stated, "rate", r.Limit.Rate,
+		"previous_limited", previous.Stated, "previous_rate", previous.Rate, "took", r.ReceivedAt.Sub(r.SentAt))
+	return true
+}
+
+// set changes the limit of an upstream. The lock is held.
+func (t *Throttler) set(s *state, l Limit, statedAt time.Time) {
+	if l.Stated != s.limit.Stated {
+		change := int64(1)
+		if !l.Stated {
+			change = -1
+		}
+		t.limited.Add(change)
+		s.share = share{}
+	}
+	if l.Rate != s.limit.Rate {
+		s.share.computedAt = time.Time{}
+	}
+	s.limit, s.statedAt = l, statedAt
 }
 
 func (t *Throttler) count(retry bool) {
@@ -113,6 +185,9 @@
 
 // LimitOf returns the limit of an upstream.
 func (t *Throttler) LimitOf(id ID) Limit {
+	if t.limited.Load() == 0 {
+		return Limit{}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.limits[id]; s != nil {
@@ -120,3 +195,61 @@
 	}
 	return Limit{}
 }
+
+// Allows reports whether this daemon may send a request to an upstream now.
+func (t *Throttler) Allows(now time.Time, id ID) bool {
+	if t.limited.Load() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.limits[id]
+	return s == nil || !s.limit.Stated || t.allows(now, id, s)
+}
+
+// recheckInterval is the time without a statement of a limit after which a request should show
+// whether the limit still applies.
+const recheckInterval = 5 * time.Second
+
+// IsStale reports whether an upstream has stated its limit to no daemon for recheckInterval, as far
+// as this daemon knows.
+func (t *Throttler) IsStale(now time.Time, id ID) bool {
+	if t.limited.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.limits[id]
+	return s != nil && s.limit.Stated && now.Sub(s.statedAt) > recheckInterval
+}
+
+// Take counts a request that is sent to an upstream. It reports whether Allows is true.
+func (t *Throttler) Take(now time.Time, id ID) bool {
+	if t.limited.Load() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.limits[id]
+	if s == nil || !s.limit.Stated {
+		return true
+	}
+	if !t.allows(now, id, s) {
+		return false
+	}
+	s.share.take()
+	return true
+}
+
+// Retain deletes the limits of all upstreams except the listed ones.
+func (t *Throttler) Retain(listed map[ID]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.limits {
+		if listed[id] {
+			continue
+		}
+		t.set(s, Limit{}, s.statedAt)
+		delete(t.limits, id)
+	}
+}
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -1,6 +1,10 @@
 package throttler
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,3 +43,97 @@
 	require.NotEqual(t, IDOf("i-7", 1), IDOf("i-7", 2))
 	require.Equal(t, IDOf("i-7", 1), IDOf("i-7", 1))
 }
+
+func fleetOf(t *testing.T, daemons int) []*Throttler {
+	t.Helper()
+	var addresses []netip.AddrPort
+	for i := range daemons {
+		addresses = append(addresses, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000))
+	}
+	var fleet []*Throttler
+	for i := range daemons {
+		others := slices.Concat(addresses[:i], addresses[i+1:])
+		random := rand.New(rand.NewPCG(uint64(i), 1))
+		fleet = append(fleet, New(Config{
+			Self: addresses[i], Members: func() ([]netip.AddrPort, bool) { return others, true }, Random: random.Float64,
+		}))
+	}
+	return fleet
+}
+
+// Daemons whose shares have not been used for a long time must not use them all at once, and
+// shares of daemons that always have requests must not exceed the limit.
+func TestSharesOfFleetKeepLimit(t *testing.T) {
+	tests := []struct {
+		daemons int
+		rate    float64
+	}{{1, 1}, {7, 0.3}, {7, 1.1}, {7, 1.9}, {7, 5}, {7, 40}, {295, 1}, {295, 30}, {295, 1000}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d daemons, %v", tt.daemons, tt.rate), func(t *testing.T) {
+			fleet, now := fleetOf(t, tt.daemons), time.Unix(1000, 0)
+			for _, d := range fleet {
+				d.Record(1, Response{SentAt: now, ReceivedAt: now, Limit: Limit{Stated: true, Rate: tt.rate}})
+				d.Allows(now, 1)
+			}
+			for _, idle := range []time.Duration{time.Minute, 0, time.Hour, time.Second} {
+				now = now.Add(idle)
+				taken := 0
+				for end := now.Add(4 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+					for _, d := range fleet {
+						if d.Take(now, 1) {
+							taken++
+						}
+					}
+				}
+				require.LessOrEqual(t, float64(taken), 1.5*4*tt.rate+5)
+				require.GreaterOrEqual(t, float64(taken), 0.5*4*tt.rate-2)
+			}
+		})
+	}
+}
+
+// A daemon that does not know the fleet cannot know its share.
+func TestUnknownFleetAllowsNothing(t *testing.T) {
+	now, known := time.Unix(1000, 0), false
+	d := New(Config{Members: func() ([]netip.AddrPort, bool) { return nil, known }})
+	require.True(t, d.Allows(now, 1), "no limit")
+	d.Record(1, Response{SentAt: now, ReceivedAt: now, Limit: Limit{Stated: true, Rate: 5}})
+	now = now.Add(10 * time.Second)
+	require.False(t, d.Allows(now, 1))
+	known, now = true, now.Add(2*time.Second)
+	d.Allows(now, 1)
+	require.True(t, d.Allows(now.Add(time.Second), 1))
+}
+
+// A report that arrives late must neither revive a limit that has ended nor end a newer one.
+func TestOldReportsAreIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := Limit{Stated: true, Rate: 2}
+	one, other := New(Config{}), New(Config{})
+	one.Record(1, Response{SentAt: now, ReceivedAt: now, Limit: limit})
+	early := one.Collect(now, 10)
+	require.Len(t, early, 1)
+	other.Merge(now, early)
+	require.Equal(t, limit, other.LimitOf(1))
+	now = now.Add(time.Second)
+	other.Record(1, Response{SentAt: now, ReceivedAt: now})
+	other.Merge(now, one.Collect(now, 10))
+	require.Equal(t, Limit{}, other.LimitOf(1), "the report is older than the end")
+	one.Merge(now, other.Collect(now, 10))
+	require.Equal(t, Limit{}, one.LimitOf(1))
+	later := now.Add(2 * endedRetention)
+	one.Collect(later, 10)
+	require.Empty(t, one.limits, "ended limits are forgotten")
+}
+
+// The limit of an upstream that is no longer listed must not keep memory.
+func TestLimitsOfUnlistedUpstreamsAreDeleted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New(Config{})
+	for id := range ID(3) {
+		d.Record(id, Response{SentAt: now, ReceivedAt: now, Limit: Limit{Stated: true}})
+	}
+	d.Retain(map[ID]bool{1: true})
+	require.Len(t, d.limits, 1)
+	require.Equal(t, int64(1), d.limited.Load())
+}
