router, dispatcher: request limits of upstreams on the own interface

The same cause on the other way through the product: an upstream of the own interface could not state a limit, and the router would have exceeded it. Change: header X-Request-Limit in responses of engines and plain services; the router asks the throttler for its share before it chooses an upstream, also when all others are ejected. If the sample of a large pool admits none, the whole pool is searched. The members are those of the tracker; there are no notices of limits there, so each daemon learns a limit from its own responses. Before: no such header, tests cannot be stated. Conclusion: both ways keep limits with the same code.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -43,6 +43,7 @@
 	"laburnumline/retrier"
 	"laburnumline/router"
 	"laburnumline/server"
+	"laburnumline/throttler"
 	"laburnumline/tracker"
 	"laburnumline/treasurer"
 	"laburnumline/watcher"
@@ -299,7 +300,8 @@
 // openRequests creates the components that route, run and observe requests, and connects
 // them to the executor.
 func (d *Daemon) openRequests() error {
-	d.router = router.New(router.Config{Zone: d.self.Zone, Seed: uint64(d.self.Incarnation), Recorder: d.recorder})
+	requestLimits := throttler.New(throttler.Config{Self: d.self.Address, Members: d.otherDaemons, Recorder: d.recorder})
+	d.router = router.New(router.Config{Zone: d.self.Zone, Seed: uint64(d.self.Incarnation), Limits: requestLimits, Recorder: d.recorder})
 	d.openLimits()
 	broadcaster := &quarantiner.Broadcaster{Members: d.tracker, Caller: d.caller, Recorder: d.recorder}
 	d.quarantiner = quarantiner.New(quarantiner.Config{
@@ -314,7 +316,7 @@
 		PermitTimeout: d.settings.Budgets.LongestRequest,
 		Recorder:      d.recorder,
 	}
-	d.dispatcher = dispatcher.New(dispatcher.Config{Recorder: d.recorder})
+	d.dispatcher = dispatcher.New(dispatcher.Config{Limits: requestLimits, Recorder: d.recorder})
 	d.observer = observer.New(observer.Config{
 		Source:    d.dispatcher,
 		Sink:      d.router,
@@ -346,6 +348,22 @@
 	return nil
 }
 
+// otherDaemons returns the addresses of the other live daemons, and reports whether the tracker
+// knows any daemon yet.
+func (d *Daemon) otherDaemons() ([]netip.AddrPort, bool) {
+	var addresses []netip.AddrPort
+	known := false
+	for _, zone := range d.tracker.Zones() {
+		for _, peer := range d.tracker.Zone(zone) {
+			known = true
+			if peer.VM != d.self.VM {
+				addresses = append(addresses, peer.Address)
+			}
+		}
+	}
+	return addresses, known
+}
+
 // openLimits creates the limiter and the divider, which divides the rate limits of
 // contracts among the daemons by their demand. The two refer to each other.
 func (d *Daemon) openLimits() {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,6 +36,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"iter"
 	"sync"
 	"time"
 
@@ -150,7 +151,7 @@
 	Allows(now time.Time, id throttler.ID) bool
 	Take(now time.Time, id throttler.ID) bool
 	IsStale(now time.Time, id throttler.ID) bool
-	LimitOf(id throttler.ID) throttler.Limit
+	RetryAfter(ids iter.Seq[throttler.ID]) time.Duration
 }
 
 // Config holds what a Balancer needs.
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -1,11 +1,13 @@
 package balancer
 
 import (
+	"iter"
 	"slices"
 	"time"
 
 	"laburnumline/announcer"
 	"laburnumline/registrar"
+	"laburnumline/throttler"
 )
 
 // candidate is an upstream that may be chosen for a query.
@@ -26,7 +28,7 @@
 	defer b.mu.Unlock()
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
-		return Choice{RetryAfter: b.limitRetryAfter(q)}, false
+		return Choice{RetryAfter: b.config.Limits.RetryAfter(b.limitIDs(q))}, false
 	}
 	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.staleLimit }); i >= 0 {
 		candidates = candidates[i : i+1]
@@ -105,28 +107,15 @@
 	return available
 }
 
-const (
-	minLimitRetryAfter = 100 * time.Millisecond
-	maxLimitRetryAfter = 5 * time.Second
-)
-
-// limitRetryAfter returns the mean time until a candidate accepts another request of the
-// fleet, or zero if none states a limit. Another daemon may have the share that allows it.
-func (b *Balancer) limitRetryAfter(q Query) time.Duration {
-	stated, rate := false, 0.0
-	for i := range q.Candidates {
-		if limit := b.config.Limits.LimitOf(b.state(&q.Candidates[i]).limitID); limit.Stated {
-			stated = true
-			rate += limit.Rate
+// limitIDs returns the IDs of the request limits of all candidates of a query.
+func (b *Balancer) limitIDs(q Query) iter.Seq[throttler.ID] {
+	return func(yield func(throttler.ID) bool) {
+		for i := range q.Candidates {
+			if !yield(b.state(&q.Candidates[i]).limitID) {
+				return
+			}
 		}
 	}
-	if !stated {
-		return 0
-	}
-	if rate*maxLimitRetryAfter.Seconds() <= 1 {
-		return maxLimitRetryAfter
-	}
-	return max(time.Duration(float64(time.Second)/rate), minLimitRetryAfter)
 }
 
 func (s *upstreamState) isEjected(now time.Time) bool {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,7 +11,8 @@
 // another request or attempt is dropped and counted. Chunks also carry the
 // offset of their first output token. With it, duplicates are dropped, missing
 // tokens end the attempt, and a broken stream can be resumed at another engine
-// with X-Resume-Offset.
+// with X-Resume-Offset. An upstream in need states the requests per second that it accepts
+// from all daemons in X-Request-Limit (package throttler).
 //
 //	stream, err := d.CallEngine(ctx, dispatcher.EngineCall{Upstream: u, Key: key, Attempt: 1, Body: body, MaxOutput: 256})
 //	if err != nil {
@@ -37,6 +38,7 @@
 	"time"
 
 	"laburnumline/recorder"
+	"laburnumline/throttler"
 )
 
 const (
@@ -66,6 +68,8 @@
 	MaxResponseBytes int64
 	// MaxChunkBytes is the maximum size of a chunk of an engine.
 	MaxChunkBytes int
+	// Limits records the request limits that upstreams state. Nil discards them.
+	Limits Limits
 	// TLS configures connections to https upstreams. It may be nil.
 	TLS *tls.Config
 }
@@ -91,6 +95,11 @@
 	}
 }
 
+// Limits records the request limits that upstreams state.
+type Limits interface {
+	Record(id throttler.ID, r throttler.Response)
+}
+
 // Dispatcher calls upstreams. It is safe for concurrent use.
 type Dispatcher struct {
 	config Config
@@ -136,3 +145,16 @@
 	}
 	return d.pooled
 }
+
+// recordLimit records what a response says about the request limit of its upstream. A response
+// to another call says nothing.
+func (d *Dispatcher) recordLimit(resp *http.Response, id, upstream string, sentAt time.Time, attempt int) {
+	if responseID := resp.Header.Get(HeaderRequestID); d.config.Limits == nil || responseID != "" && responseID != id {
+		return
+	}
+	r := throttler.Response{Upstream: upstream, SentAt: sentAt, ReceivedAt: time.Now(), Retry: attempt > 1}
+	if value := resp.Header.Get(HeaderRequestLimit); value != "" {
+		r.Limit = throttler.Limit{Stated: true, Rate: throttler.ParseRate(value)}
+	}
+	d.config.Limits.Record(throttler.IDOf(upstream, 0), r)
+}
--- a/dispatcher/engine.go
+++ b/dispatcher/engine.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -17,6 +18,9 @@
 const (
 	HeaderRequestID    = "X-Request-Id"
 	HeaderResumeOffset = "X-Resume-Offset"
+	// HeaderRequestLimit is the number of requests per second that an upstream in need accepts
+	// from all daemons together.
+	HeaderRequestLimit = "X-Request-Limit"
 )
 
 const (
@@ -62,12 +66,14 @@
 		return nil, &Failure{Upstream: call.Upstream.Name, Step: "build", Err: err}
 	}
 	s.watchdog.start(d.config.StallTimeout, cancel)
+	sentAt := time.Now()
 	resp, err := d.send(d.transportFor(call.NewConnection), req, call.Upstream.Name)
 	if err != nil {
 		s.watchdog.stop()
 		cancel(err)
 		return nil, err
 	}
+	d.recordLimit(resp, string(s.id), call.Upstream.Name, sentAt, call.Attempt)
 	s.watchdog.toggleWait()
 	s.body = resp.Body
 	s.lines.init(resp.Body, d.config.MaxChunkBytes)
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -36,10 +37,12 @@
 	var stallTimer watchdog
 	stallTimer.start(d.config.StallTimeout, cancel)
 	defer stallTimer.stop()
+	sentAt := time.Now()
 	resp, err := d.send(d.transportFor(!u.Repeatable), req, u.Name)
 	if err != nil {
 		return nil, err
 	}
+	d.recordLimit(resp, id, u.Name, sentAt, attempt)
 	defer resp.Body.Close()
 	return d.readServiceResponse(ctx, resp, u.Name, id)
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -21,6 +21,10 @@
 // ineligible is the estimate of an upstream that must not run the request.
 const ineligible = time.Duration(math.MaxInt64)
 
+// recheckEstimate is the estimate of an upstream that must run the next request. It is lower than
+// all others.
+const recheckEstimate = -time.Hour
+
 // candidate is an upstream considered for a request.
 type candidate struct {
 	node *node
@@ -166,7 +170,7 @@
 // estimate computes the estimated time to the first token on one candidate.
 func (r *Router) estimate(now instant, q *Query, c *candidates, x *candidate) {
 	n := x.node
-	if n.closed.Load() || !n.admits(now, q) || n.nameIn(q.Exclude) {
+	if !r.admits(now, q, n) {
 		x.estimate = ineligible
 		return
 	}
@@ -181,6 +185,29 @@
 	if n.zone.Load() != c.zone {
 		x.estimate += r.config.CrossZoneCost
 	}
+	if !x.ejected && r.config.Limits.IsStale(r.time(now), n.limitID) {
+		x.estimate = recheckEstimate // the response shows whether the limit still applies
+	}
+}
+
+// admits reports whether an upstream may run a request.
+func (r *Router) admits(now instant, q *Query, n *node) bool {
+	return !n.closed.Load() && n.admits(now, q) && !n.nameIn(q.Exclude) && r.config.Limits.Allows(r.time(now), n.limitID)
+}
+
+// collectAdmitting replaces the candidates by upstreams that admit the request, from a random
+// position in the pool. The sample of a large pool may have had none.
+func (r *Router) collectAdmitting(now instant, p *pool, q *Query, c *candidates) {
+	if len(p.nodes) <= maxCandidates || q.Pin != "" {
+		return
+	}
+	*c = candidates{zone: c.zone}
+	first := r.random.intN(len(p.nodes))
+	for i := range p.nodes {
+		if n := p.nodes[(first+i)%len(p.nodes)]; r.admits(now, q, n) && c.add(n) == nil {
+			return
+		}
+	}
 }
 
 // nameIn reports whether names contains the name of the upstream.
--- a/router/node.go
+++ b/router/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumline/contractor"
+	"laburnumline/throttler"
 )
 
 const (
@@ -29,6 +30,8 @@
 
 func (r *Router) instant(t time.Time) instant { return instant(t.Sub(r.origin)) }
 
+func (r *Router) time(at instant) time.Time { return r.origin.Add(time.Duration(at)) }
+
 // delta is the start (+1) or end (-1) of a request of this daemon.
 type delta struct {
 	at     instant
@@ -40,6 +43,7 @@
 // made just before the change.
 type node struct {
 	id       int32
+	limitID  throttler.ID
 	config   *Config
 	upstream atomic.Pointer[contractor.Upstream]
 	// closed is true when the upstream gets no new requests.
--- a/router/pool.go
+++ b/router/pool.go
@@ -1,11 +1,13 @@
 package router
 
 import (
+	"iter"
 	"slices"
 	"sort"
 	"time"
 
 	"laburnumline/contractor"
+	"laburnumline/throttler"
 )
 
 const (
@@ -71,6 +73,17 @@
 	return int(p.positions[at]) - 1
 }
 
+// limitIDs returns the IDs of the request limits of all upstreams.
+func (p *pool) limitIDs() iter.Seq[throttler.ID] {
+	return func(yield func(throttler.ID) bool) {
+		for _, n := range p.nodes {
+			if !yield(n.limitID) {
+				return
+			}
+		}
+	}
+}
+
 func (p *pool) add(n *node) { p.nodes = append(p.nodes, n) }
 
 // pin makes n the only candidate if it is open, in the pool and not excluded.
@@ -159,7 +172,7 @@
 		r.nextID++
 		// A random initial value: each daemon starts its rotation in another order.
 		offset := instant(r.random.intN(int(initialStartRange)))
-		n = &node{id: r.nextID, config: &r.config}
+		n = &node{id: r.nextID, limitID: throttler.IDOf(u.Name, 0), config: &r.config}
 		n.lastStart.Store(int64(r.instant(now) - offset))
 		r.nodes[u.Name] = n
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -34,6 +34,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,7 @@
 	"laburnumline/contractor"
 	"laburnumline/recorder"
 	"laburnumline/refuser"
+	"laburnumline/throttler"
 )
 
 // Query describes a request that needs an upstream.
@@ -160,10 +162,20 @@
 	MaxEjectedFraction float64
 	// MaxDigests limits the number of prefix blocks kept in memory.
 	MaxDigests int
+	// Limits keeps the request limits that upstreams state. Nil means that they state none.
+	Limits Limits
 	// Recorder counts ejections and refusals. Nil discards them.
 	Recorder *recorder.Recorder
 }
 
+// Limits keeps the request limits that upstreams state.
+type Limits interface {
+	Allows(now time.Time, id throttler.ID) bool
+	Take(now time.Time, id throttler.ID) bool
+	IsStale(now time.Time, id throttler.ID) bool
+	RetryAfter(ids iter.Seq[throttler.ID]) time.Duration
+}
+
 // originAge is the age of Router.origin when the router is created. It is longer
 // than that of any time passed in, so a zero instant is always in the past.
 const originAge = 50 * 365 * 24 * time.Hour
@@ -207,6 +219,9 @@
 	if c.MaxDigests <= 0 {
 		c.MaxDigests = defaultMaxDigests
 	}
+	if c.Limits == nil {
+		c.Limits = throttler.New(throttler.Config{})
+	}
 	return c
 }
 
@@ -249,7 +264,7 @@
 	index := r.index.Load()
 	pool := index.pool(q.Kind, q.Target)
 	if pool == nil {
-		return Choice{}, r.refuse(q, "no upstream serves it")
+		return Choice{}, r.refuse(q, nil)
 	}
 	if q.Zone == "" {
 		q.Zone = r.config.Zone
@@ -260,12 +275,16 @@
 		r.collectCandidates(pool, &q, &c)
 	}
 	r.score(at, pool, &q, &c)
+	if c.best == ineligible {
+		r.collectAdmitting(at, pool, &q, &c)
+		r.score(at, pool, &q, &c)
+	}
 	for {
 		x := r.pick(&c)
 		if x == nil {
-			return Choice{}, r.refuse(q, "every upstream is excluded, leaving, ejected or busy")
+			return Choice{}, r.refuse(q, pool)
 		}
-		if !x.node.begin(at, &q, x.prefill) {
+		if !r.config.Limits.Take(now, x.node.limitID) || !x.node.begin(at, &q, x.prefill) {
 			x.estimate = ineligible
 			c.findBest()
 			continue
@@ -276,10 +295,18 @@
 	}
 }
 
-func (r *Router) refuse(q Query, detail string) error {
+// refuse returns the refusal of a request that no upstream of the pool may run. The pool is nil if
+// no upstream serves the target.
+func (r *Router) refuse(q Query, p *pool) error {
 	r.config.Recorder.Count("router.no_upstream", 1)
-	refusal := refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(time.Second)
-	return refusal.WithDetail("%s %q: %s", q.Kind, q.Target, detail)
+	if p == nil {
+		return refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(time.Second).WithDetail("%s %q: no upstream serves it", q.Kind, q.Target)
+	}
+	if retryAfter := r.config.Limits.RetryAfter(p.limitIDs()); retryAfter > 0 {
+		return refuser.New(refuser.UpstreamLimited, "choose").WithRetryAfter(retryAfter).WithDetail("%s %q: no upstream accepts more requests", q.Kind, q.Target)
+	}
+	return refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(time.Second).
+		WithDetail("%s %q: every upstream is excluded, leaving, ejected or busy", q.Kind, q.Target)
 }
 
 // Finish records the end of a request that Choose placed. firstToken is the time
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -23,8 +23,12 @@
 
 import (
 	"encoding/binary"
+	"iter"
+	"math"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +58,16 @@
 	Rate float64
 }
 
+// ParseRate returns a number of requests per second. A text that is not one stands for zero: the
+// upstream is in need.
+func ParseRate(text string) float64 {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		return 0
+	}
+	return rate
+}
+
 // Response is what a response says about the limit of its upstream.
 type Response struct {
 	// Upstream is the name for logs.
@@ -211,6 +225,30 @@
 // whether the limit still applies.
 const recheckInterval = 5 * time.Second
 
+// RetryAfter returns the mean time until one of some upstreams accepts another request of the
+// fleet, or zero if none states a limit. Another daemon may have the share that allows it.
+func (t *Throttler) RetryAfter(ids iter.Seq[ID]) time.Duration {
+	stated, rate := false, 0.0
+	for id := range ids {
+		if limit := t.LimitOf(id); limit.Stated {
+			stated = true
+			rate += limit.Rate
+		}
+	}
+	switch {
+	case !stated:
+		return 0
+	case rate*maxRetryAfter.Seconds() <= 1:
+		return maxRetryAfter
+	}
+	return max(time.Duration(float64(time.Second)/rate), minRetryAfter)
+}
+
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
 // IsStale reports whether an upstream has stated its limit to no daemon for recheckInterval, as far
 // as this daemon knows.
 func (t *Throttler) IsStale(now time.Time, id ID) bool {
