forwarder: log the software versions that a stream comes from

The logs showed neither the version of an upstream nor that a caller takes a stream up again. Adds the version to upstream_listed and stream_resumed, and the event stream_continued with the caller's attempt that began the stream. No change of logic.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -64,7 +64,7 @@
 		}
 		x.tried = append(x.tried, choice.Upstream.Name)
 		if decision.Resume {
-			f.Recorder.Event(recorder.StreamResumed, "id", x.request.ID, "after", x.lastEventID, "from", choice.Upstream.Name)
+			f.Recorder.Event(recorder.StreamResumed, "id", x.request.ID, "after", x.lastEventID, "from", choice.Upstream.Name, "software", choice.Upstream.Software)
 		}
 		if sleeper.Sleep(ctx, decision.Delay) != nil {
 			return x.contextRefusal(ctx, choice)
@@ -127,6 +127,7 @@
 	result := balancer.Result{Outcome: balancer.Served}
 	eventsBefore := x.eventCount
 	x.firstOutput, x.served = time.Time{}, false
+	x.upstream, x.attemptEvents, x.continued = choice.Upstream, 0, false
 	x.permitUpstream = choice.Upstream.Name
 	sentAt := time.Now()
 	response, err := f.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -50,6 +50,11 @@
 	responseStarted bool
 	lastEventID     string
 	eventCount      int64
+	// upstream is that of the current attempt, and attemptEvents counts the events from it.
+	upstream      registrar.Upstream
+	attemptEvents int64
+	// continued is true once these follow events of an earlier attempt.
+	continued bool
 	// serverErrorResponse is the last signed 5xx response of an upstream. It is forwarded
 	// if no other attempt succeeds.
 	serverErrorResponse *bufferedResponse
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	PromptParts                   []balancer.Part
 	// ResumeAfter is the id of the last event of a stream that the caller has received.
 	ResumeAfter string
+	// Resumes is the ID of the caller's attempt that received the first event of that stream.
+	Resumes string
 }
 
 // Metadata is what the daemon sends to an upstream about a request, in its headers.
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -136,6 +136,7 @@
 func (x *exchange) forwardEvents(response *connector.Response, events []byte) bool {
 	x.startStream(response)
 	x.countEvents(events)
+	x.recordContinuation()
 	x.recordOutput()
 	if _, err := x.writer.Write(events); err != nil {
 		return false
@@ -146,6 +147,16 @@
 	return true
 }
 
+// recordContinuation logs the first events of an attempt that follow those of an earlier one.
+func (x *exchange) recordContinuation() {
+	if x.continued || x.attemptEvents == 0 || x.eventCount == x.attemptEvents && x.request.ResumeAfter == "" {
+		return
+	}
+	x.continued = true
+	x.forwarder.config.Recorder.Event(recorder.StreamContinued, "id", x.request.ID, "resumes", x.request.Resumes,
+		"upstream", x.upstream.Name, "software", x.upstream.Software, "last_event", x.lastEventID)
+}
+
 // countEvents counts events and stores the id of the last one.
 func (x *exchange) countEvents(events []byte) {
 	for line := range bytes.Lines(events) {
@@ -154,6 +165,7 @@
 			continue
 		}
 		x.eventCount++
+		x.attemptEvents++
 		x.lastEventID = string(bytes.TrimSpace(id))
 	}
 }
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -46,6 +46,9 @@
 	// LingerNotSet is logged when a broken response to a caller of HTTP/1.0 cannot be marked by a
 	// reset of its connection.
 	LingerNotSet Code = 2405
+	// StreamContinued is logged for the first event that follows those of an earlier attempt of
+	// the daemon or of the caller.
+	StreamContinued Code = 2406
 )
 
 var _ = declare(eventNames{
@@ -69,4 +72,5 @@
 	AnswerBroken:        "answer_broken",
 	StreamResumed:       "stream_resumed",
 	LingerNotSet:        "linger_not_set",
+	StreamContinued:     "stream_continued",
 })
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -34,6 +34,8 @@
 	Service resolver.ServiceName
 	Address netip.AddrPort
 	Zone    string
+	// Software is the version of the upstream's software. It may be empty.
+	Software string
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
 	// Draining upstreams get no new requests.
@@ -208,7 +210,7 @@
 	old := r.entries[e.Key]
 	if old == nil || !old.valid || old.upstream.Draining != upstream.Draining {
 		r.config.Recorder.Event(recorder.UpstreamListed, "upstream", upstream.Name, "service", upstream.Service,
-			"address", upstream.Address, "draining", upstream.Draining, "revision", e.Revision)
+			"address", upstream.Address, "software", upstream.Software, "draining", upstream.Draining, "revision", e.Revision)
 	}
 	r.entries[e.Key] = &entry{upstream: upstream, valid: true}
 }
