--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -50,6 +50,10 @@
 	responseStarted bool
 	lastEventID     string
 	eventCount      int64
+	// software is the version of the upstreams' software that began the stream, once softwareKnown
+	// is true. What two versions write does not fit together.
+	software      string
+	softwareKnown bool
 	// upstream is that of the current attempt, and attemptEvents counts the events from it.
 	upstream      registrar.Upstream
 	attemptEvents int64
