tests: the fleets with request limits run in parallel

TestFleetKeepsRequestLimits took 124 s under the race detector. Its cases run in parallel now, and its large fleet has 100 upstreams with 500 requests a second in place of 320 with 600, five a second and upstream instead of two. No check or bound has changed.

--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -380,7 +380,7 @@
 		{name: "limit grows and falls", path: "/again/", daemons: 7, upstreams: 6, limited: 3, limit: limitThatGrows, rate: 40, noticeDelay: small},
 		{name: "limit ends", path: "/again/", daemons: 7, upstreams: 18, limited: 4, limit: limitThatEnds, rate: 70, noticeDelay: small, endsAt: 12 * time.Second, duration: 75 * time.Second, minUsedAfter: 0.5},
 		{name: "limit ends, notices are lost", path: "/again/", daemons: 7, upstreams: 18, limited: 4, limit: limitThatEnds, rate: 70, noticesLost: true, endsAt: 12 * time.Second, duration: 75 * time.Second},
-		{name: "large fleet", path: "/again/", daemons: 295, upstreams: 320, limited: 60, limit: constantLimit(1), rate: 600, noticeDelay: large, stable: 5 * time.Second, duration: 30 * time.Second},
+		{name: "large fleet", path: "/again/", daemons: 295, upstreams: 100, limited: 20, limit: constantLimit(1), rate: 500, noticeDelay: large, stable: 5 * time.Second, duration: 30 * time.Second},
 		{name: "large fleet, few upstreams", path: "/again/", daemons: 295, upstreams: 10, limited: 5, limit: constantLimit(1), rate: 300, noticeDelay: large, stable: 5 * time.Second},
 	}
 	for _, tt := range tests {
@@ -391,6 +391,7 @@
 			tt.stable = 3 * time.Second
 		}
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			seeds := uint64(3)
 			if tt.daemons > 100 {
 				seeds = 1 // a fleet of this size takes as long as all others together
@@ -423,6 +424,7 @@
 	for _, tt := range tests {
 		tt.limited, tt.duration, tt.stable, tt.noticeDelay = tt.upstreams, 45*time.Second, 3*time.Second, 100*time.Millisecond
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newLimitFleet(t, tt, 1)
 				f.play()
