pinner, forwarder: a stream that its caller takes up keeps its software version

A daemon that was asked to continue a stream did not know at which version it had begun, and sent the request to whichever upstream was cheapest. Change: package pinner records the version of a stream's first event, at its daemon and, while a service has several versions, at three others; a daemon at which a caller takes a stream up asks for it. A stream that nobody knows continues only where a single version is possible; else the request is refused before any upstream gets it (software_unknown, not run).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -120,22 +120,6 @@
 	}
 }
 
-// candidates returns the upstreams that may run the request: those of its service, and for a
-// stream that has begun those of its software version.
-func (x *exchange) candidates() []registrar.Upstream {
-	all := x.forwarder.config.Upstreams.Of(x.service.Name)
-	if !x.softwareKnown {
-		return all
-	}
-	var same []registrar.Upstream
-	for _, u := range all {
-		if u.Software == x.software {
-			same = append(same, u)
-		}
-	}
-	return same
-}
-
 // attempt sends the request to one upstream. It returns nil when the response was
 // forwarded to the caller.
 func (x *exchange) attempt(ctx context.Context, choice balancer.Choice) *failure {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -54,6 +54,8 @@
 	// is true. What two versions write does not fit together.
 	software      string
 	softwareKnown bool
+	// pinned is true once the version is recorded for other attempts of the caller.
+	pinned bool
 	// upstream is that of the current attempt, and attemptEvents counts the events from it.
 	upstream      registrar.Upstream
 	attemptEvents int64
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 	"laburnumline/balancer"
 	"laburnumline/connector"
 	"laburnumline/contractor"
+	"laburnumline/pinner"
 	"laburnumline/recorder"
 	"laburnumline/refuser"
 	"laburnumline/registrar"
@@ -87,6 +88,15 @@
 // Upstreams lists the upstreams of a service.
 type Upstreams interface {
 	Of(service resolver.ServiceName) []registrar.Upstream
+	// SoftwareVersions returns the versions that may have begun streams which callers still take
+	// up. It reports false while there may be others.
+	SoftwareVersions(service resolver.ServiceName) (versions []string, complete bool)
+}
+
+// Streams records the software versions that began event streams, for all daemons.
+type Streams interface {
+	Pin(s pinner.Stream, software string, replicate bool)
+	Lookup(ctx context.Context, s pinner.Stream) (software string, ok bool)
 }
 
 // Budgets reserves tokens for requests.
@@ -124,6 +134,7 @@
 	Budgets    Budgets
 	Balancer   Balancer
 	Limits     Limits
+	Streams    Streams
 	Sender     Sender
 	Retries    Retries
 	Quarantine Quarantine
@@ -182,6 +193,10 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
 	defer cancel()
+	if refusal := x.findSoftware(ctx); refusal != nil {
+		x.writeRefusal(refusal)
+		return
+	}
 	if refusal := x.reserve(ctx); refusal != nil {
 		x.writeRefusal(refusal)
 		return
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -148,13 +148,6 @@
 	return true
 }
 
-// pinSoftware keeps the stream at the software version of its first event.
-func (x *exchange) pinSoftware() {
-	if x.attemptEvents > 0 && !x.softwareKnown {
-		x.software, x.softwareKnown = x.upstream.Software, true
-	}
-}
-
 // recordContinuation logs the first events of an attempt that follow those of an earlier one.
 func (x *exchange) recordContinuation() {
 	if x.continued || x.attemptEvents == 0 || x.eventCount == x.attemptEvents && x.request.ResumeAfter == "" {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -39,6 +39,7 @@
 	"laburnumline/forwarder"
 	"laburnumline/gauger"
 	"laburnumline/persister"
+	"laburnumline/pinner"
 	"laburnumline/quarantiner"
 	"laburnumline/recorder"
 	"laburnumline/registrar"
@@ -141,6 +142,8 @@
 	shares                  *apportioner.Apportioner
 	balancer                *balancer.Balancer
 	throttler               *throttler.Throttler
+	pinner                  *pinner.Pinner
+	streamConn              atomic.Pointer[net.UDPConn]
 	pool                    *connector.Pool
 	link                    *gauger.Gauger
 	combiner                *combiner.Combiner
@@ -149,6 +152,10 @@
 	configurationReplicator *replicator.Replicator
 	upstreamReplicator      *replicator.Replicator
 
+	// severalVersions has the services with several software versions at the last call of
+	// replicateStreams.
+	severalVersions map[resolver.ServiceName]bool
+
 	// cleanedGeneration is the generation of the list of upstreams at the last call of
 	// dropRemovedUpstreams.
 	cleanedGeneration int64
@@ -163,7 +170,7 @@
 	if c.Listen == nil {
 		c.Listen = listen
 	}
-	d := &Daemon{config: c, activeTable: &resolver.ActiveTable{}}
+	d := &Daemon{config: c, activeTable: &resolver.ActiveTable{}, severalVersions: make(map[resolver.ServiceName]bool)}
 	s, rec := c.Settings, c.Recorder
 	d.incarnation = contractor.Incarnation(rand.Uint64())
 	d.link = gauger.New(gauger.Config{BytesPerSecond: s.LinkBytesPerSecond})
@@ -180,12 +187,13 @@
 		Store: d.store, Name: s.Name, Address: s.InternalAddress, LinkBandwidth: s.LinkBytesPerSecond, Incarnation: d.incarnation, RequestTransfer: d.requestTransfer, Recorder: rec,
 		BootClock: timekeeper.Read,
 	})
+	d.pinner = pinner.New(pinner.Config{Self: s.streamAddress(), Peers: d.streamPeers, Send: d.sendStreamMessage, Recorder: rec})
 	d.throttler = throttler.New(throttler.Config{Self: s.InternalAddress, Members: d.knownPeers, Changed: d.hastenNotice, Recorder: rec})
 	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler})
 	d.pool = connector.New(connector.Config{
 		Dial: dial, ReadMetadata: c.Adapter.ParseResponseHeader, Recorder: rec,
 	})
-	d.registrar = registrar.New(registrar.Config{Decode: c.Adapter.DecodeUpstream, LastFailure: d.lastFailure, Recorder: rec})
+	d.registrar = registrar.New(registrar.Config{Decode: c.Adapter.DecodeUpstream, LastFailure: d.lastFailure, ListAge: d.upstreamListAge, Recorder: rec})
 	d.configurationReplicator = replicator.New(replicator.Config{
 		Store: d.store, Prefix: c.Adapter.ConfigurationPrefix, Recorder: rec,
 		Handler: &configurationHandler{daemon: d},
@@ -204,7 +212,7 @@
 	}
 	d.forwarder = forwarder.New(forwarder.Config{
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dial, address) },
-		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Sender: d.pool,
+		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
 		Retries:     retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
 		SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
 	})
@@ -273,6 +281,9 @@
 	return d.upstreamReplicator.LastFailure()
 }
 
+// upstreamListAge returns the time since the store last confirmed the list of upstreams.
+func (d *Daemon) upstreamListAge() time.Duration { return d.upstreamReplicator.Age(time.Now()) }
+
 // Run serves until ctx ends, and then completes the requests in flight within the
 // grace period.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -288,6 +299,7 @@
 	tasks.Go(func() error { d.maintain(background); return nil })
 	tasks.Go(func() error { return d.announce(background) })
 	tasks.Go(func() error { return d.serveTransfers(background) })
+	tasks.Go(func() error { return d.serveStreams(background) })
 	tasks.Go(func() error { return d.serveRelay(background) })
 
 	readinessServer, err := d.serveReadinessAndMetrics()
@@ -392,6 +404,7 @@
 		return
 	}
 	d.cleanedGeneration = generation
+	d.replicateStreams()
 	d.balancer.RemoveUnlisted(d.registrar.Listed)
 	d.throttler.Retain(d.registrar.LimitIDs())
 	d.pool.CloseExcept(d.registrar.Addresses())
--- /dev/null
+++ b/pinner/pinner.go
@@ -0,0 +1,197 @@
+// Package pinner pins event streams to the software version of their upstreams.
+//
+// Upstreams of several software versions may serve one service side by side, and the events
+// of two versions do not fit together. A stream that broke off may therefore continue at
+// upstreams of the version that began it only. A caller may take its stream up again at
+// another daemon than the one that began it, and that one may have died with the stream.
+//
+// Each daemon records the versions of the streams that it begins. While a service has several
+// versions, it also sends each record to a few other daemons, the replicas, which rendezvous
+// hashing of the stream determines. A daemon that does not know a stream asks its replicas,
+// then all other daemons. Records and questions are single datagrams: a lost record leaves
+// other copies, and a stream that nobody knows must not continue.
+//
+//	p := pinner.New(pinner.Config{Self: address, Peers: peers, Send: send})
+//	p.Pin(pinner.StreamOf(attemptID), "v1.2", true)
+//	software, ok := p.Lookup(ctx, pinner.StreamOf(attemptID)) // at another daemon
+package pinner
+
+import (
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumline/recorder"
+)
+
+// Stream identifies a stream: it is the digest of the caller's attempt that received the first
+// event.
+type Stream [16]byte
+
+// StreamOf returns the stream that an attempt has begun.
+func StreamOf(attempt string) Stream {
+	sum := sha256.Sum256([]byte(attempt))
+	return Stream(sum[:16])
+}
+
+const (
+	// replicas is the number of daemons that get a copy of each record.
+	replicas = 3
+	// Retention is the minimum time for which a record is kept. Callers take a stream up within
+	// their deadline, which is shorter.
+	Retention = time.Minute
+	// maxRecords limits the records of one generation, about 64 bytes each. Two generations are
+	// kept.
+	maxRecords = 1 << 16
+	// recentAge is how long ago the streams began that are copied when a service gets a second
+	// version.
+	recentAge = 15 * time.Second
+)
+
+// Config holds what a Pinner needs.
+type Config struct {
+	// Self is the address of this daemon, in the form of Peers.
+	Self netip.AddrPort
+	// Peers returns the addresses of the other daemons.
+	Peers func() []netip.AddrPort
+	// Send sends a datagram. Delivery need not be reliable.
+	Send func(to netip.AddrPort, datagram []byte)
+	// Now returns the current time. Nil means time.Now.
+	Now      func() time.Time
+	Recorder *recorder.Recorder
+}
+
+// record is what is known about a stream.
+type record struct {
+	software string
+	begunAt  time.Time // zero in the copy of another daemon
+}
+
+// Pinner records the versions of streams. It is safe for concurrent use.
+type Pinner struct {
+	config Config
+
+	mu sync.Mutex
+	// recent and older are the records of the last two generations.
+	recent, older map[Stream]record
+	rotatedAt     time.Time
+	questions     map[uint64]*question
+	lastQuestion  uint64
+}
+
+// New returns a Pinner without records.
+func New(c Config) *Pinner {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return &Pinner{
+		config: c, recent: make(map[Stream]record), older: make(map[Stream]record), rotatedAt: c.Now(),
+		questions: make(map[uint64]*question),
+	}
+}
+
+// Pin records the version of a stream, and sends copies to the replicas if replicate is true.
+func (p *Pinner) Pin(s Stream, software string, replicate bool) {
+	p.store(s, record{software: software, begunAt: p.config.Now()})
+	if !replicate {
+		return
+	}
+	for _, peer := range p.replicasOf(s) {
+		if peer != p.config.Self {
+			p.send(peer, &message{Records: []copied{{Stream: s, Software: software}}})
+		}
+	}
+}
+
+// ReplicateRecent sends copies of the recent records to their replicas. It is called when a service
+// gets a second version.
+func (p *Pinner) ReplicateRecent() {
+	now := p.config.Now()
+	var own []copied
+	p.mu.Lock()
+	for _, generation := range []map[Stream]record{p.older, p.recent} {
+		for s, r := range generation {
+			if !r.begunAt.IsZero() && now.Sub(r.begunAt) <= recentAge {
+				own = append(own, copied{Stream: s, Software: r.software})
+			}
+		}
+	}
+	p.mu.Unlock()
+	byPeer := make(map[netip.AddrPort][]copied)
+	for _, c := range own {
+		for _, peer := range p.replicasOf(c.Stream) {
+			byPeer[peer] = append(byPeer[peer], c)
+		}
+	}
+	delete(byPeer, p.config.Self)
+	for peer, list := range byPeer {
+		for chunk := range slices.Chunk(list, maxCopied) {
+			p.send(peer, &message{Records: chunk})
+		}
+	}
+}
+
+func (p *Pinner) store(s Stream, r record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.config.Now()
+	if now.Sub(p.rotatedAt) >= Retention || len(p.recent) >= maxRecords {
+		p.older, p.recent, p.rotatedAt = p.recent, make(map[Stream]record), now
+	}
+	p.recent[s] = r
+}
+
+// known returns the version of a stream that this daemon knows.
+func (p *Pinner) known(s Stream) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.recent[s]
+	if !ok {
+		r, ok = p.older[s]
+	}
+	return r.software, ok
+}
+
+// Lookup returns the version of a stream, or false if no daemon that answers knows it.
+func (p *Pinner) Lookup(ctx context.Context, s Stream) (software string, ok bool) {
+	if software, ok := p.known(s); ok {
+		return software, true
+	}
+	peers := p.config.Peers()
+	first := slices.DeleteFunc(p.replicasOf(s), func(a netip.AddrPort) bool { return a == p.config.Self })
+	if len(peers) <= maxFirstPeers {
+		first = peers
+	}
+	if software, ok := p.ask(ctx, s, first); ok {
+		return software, true
+	}
+	rest := slices.DeleteFunc(slices.Clone(peers), func(a netip.AddrPort) bool { return slices.Contains(first, a) })
+	return p.ask(ctx, s, rest)
+}
+
+// replicasOf returns the daemons that keep copies of a stream's record, which may include this one.
+func (p *Pinner) replicasOf(s Stream) []netip.AddrPort {
+	members := append(slices.Clone(p.config.Peers()), p.config.Self)
+	weights := make(map[netip.AddrPort]uint64, len(members))
+	for _, m := range members {
+		weights[m] = rendezvousWeight(s, m)
+	}
+	slices.SortFunc(members, func(a, b netip.AddrPort) int { return cmp.Compare(weights[b], weights[a]) })
+	return members[:min(len(members), replicas)]
+}
+
+func rendezvousWeight(s Stream, member netip.AddrPort) uint64 {
+	var b [34]byte
+	copy(b[:16], s[:])
+	address := member.Addr().As16()
+	copy(b[16:32], address[:])
+	binary.LittleEndian.PutUint16(b[32:], member.Port())
+	return xxhash.Sum64(b[:])
+}
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -49,6 +49,9 @@
 	// StreamContinued is logged for the first event that follows those of an earlier attempt of
 	// the daemon or of the caller.
 	StreamContinued Code = 2406
+	// StreamMessageFailed is logged when a message about the software version of a stream cannot be
+	// sent or read.
+	StreamMessageFailed Code = 2407
 )
 
 var _ = declare(eventNames{
@@ -73,4 +76,5 @@
 	StreamResumed:       "stream_resumed",
 	LingerNotSet:        "linger_not_set",
 	StreamContinued:     "stream_continued",
+	StreamMessageFailed: "stream_message_failed",
 })
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -66,6 +66,7 @@
 	NoRoute
 	SlowRequest
 	UpstreamLimited
+	SoftwareUnknown
 	reasonCount
 )
 
@@ -104,6 +105,7 @@
 	NoRoute:              {"no_route", http.StatusNotFound},
 	SlowRequest:          {"slow_request", http.StatusRequestTimeout},
 	UpstreamLimited:      {"upstream_limited", http.StatusServiceUnavailable},
+	SoftwareUnknown:      {"software_unknown", http.StatusServiceUnavailable},
 }
 
 // String returns the name used in responses and metrics.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -63,6 +63,8 @@
 type Config struct {
 	// Decode reads an entry. Entries with an error are skipped.
 	Decode func(key string, value []byte) (Upstream, error)
+	// ListAge returns the time since the list was last confirmed. Nil means that it is current.
+	ListAge func() time.Duration
 	// LastFailure returns when a call to the store last failed, or the zero time.
 	LastFailure func() time.Time
 	Recorder    *recorder.Recorder
@@ -80,6 +82,8 @@
 
 	available  atomic.Pointer[map[resolver.ServiceName][]Upstream]
 	generation atomic.Int64
+	software   atomic.Pointer[softwareView]
+	createdAt  time.Time
 }
 
 type entry struct {
@@ -97,7 +101,11 @@
 	if c.LastFailure == nil {
 		c.LastFailure = func() time.Time { return time.Time{} }
 	}
-	r := &Registrar{config: c, entries: make(map[string]*entry)}
+	if c.ListAge == nil {
+		c.ListAge = func() time.Duration { return 0 }
+	}
+	r := &Registrar{config: c, entries: make(map[string]*entry), createdAt: c.Now()}
+	r.software.Store(&softwareView{})
 	r.publish()
 	return r
 }
@@ -249,5 +257,7 @@
 		slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	}
 	r.available.Store(&available)
+	known := r.software.Load()
+	r.updateSoftware(known.history, known.complete)
 	r.generation.Add(1)
 }
--- /dev/null
+++ b/registrar/software_test.go
@@ -0,0 +1,66 @@
+package registrar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumline/persister"
+)
+
+func newSoftwareRegistrar(now *time.Time) *Registrar {
+	return New(Config{
+		Now: func() time.Time { return *now },
+		Decode: func(key string, value []byte) (Upstream, error) {
+			return Upstream{Name: Name(key), Service: "drafts", Software: string(value)}, nil
+		},
+	})
+}
+
+func change(key, software string) persister.Change {
+	return persister.Change{Entry: persister.Entry{Key: key, Value: []byte(software)}, Deleted: software == ""}
+}
+
+// A version whose upstreams are gone still has streams that callers take up. While it counts, its
+// service must not be taken for one with a single version.
+func TestVersionCountsAfterItsLastUpstream(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newSoftwareRegistrar(&now)
+	r.Apply(change("a", "v1"))
+	versions, complete := r.SoftwareVersions("drafts")
+	require.Equal(t, []string{"v1"}, versions)
+	require.False(t, complete, "the versions before the start are not known")
+	now = now.Add(SoftwareRetention)
+	_, complete = r.SoftwareVersions("drafts")
+	require.True(t, complete)
+	r.Apply(change("b", "v2"))
+	r.Apply(change("a", ""))
+	now = now.Add(SoftwareRetention - time.Millisecond)
+	r.Apply(change("c", "v2"))
+	versions, _ = r.SoftwareVersions("drafts")
+	require.Equal(t, []string{"v1", "v2"}, versions)
+	now = now.Add(time.Millisecond)
+	versions, _ = r.SoftwareVersions("drafts")
+	require.Equal(t, []string{"v2"}, versions)
+	r.Apply(change("c", "v2"))
+	require.Len(t, r.SoftwareHistory()["drafts"], 1, "versions are forgotten")
+	versions, _ = r.SoftwareVersions("other")
+	require.Empty(t, versions)
+}
+
+// A daemon that starts gets to know the versions before its start from the store.
+func TestStoredVersionsAreMerged(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newSoftwareRegistrar(&now)
+	r.Apply(change("b", "v2"))
+	r.MergeSoftware(SoftwareHistory{"drafts": {
+		"v0": now.Add(-SoftwareRetention).UnixMilli(), "v1": 0, "v1.1": now.Add(-time.Second).UnixMilli(), "v2": now.Add(-time.Second).UnixMilli(),
+	}})
+	versions, complete := r.SoftwareVersions("drafts")
+	require.Equal(t, []string{"v1", "v1.1", "v2"}, versions)
+	require.True(t, complete)
+	require.Zero(t, r.SoftwareHistory()["drafts"]["v2"], "listed")
+	r.Apply(change("a", "v1"))
+	require.Zero(t, r.SoftwareHistory()["drafts"]["v1"], "listed again")
+}
