registrar, launcher: the software versions of services outlive the daemons

Cause: the history of versions was kept in processes that do not last. Ruled out: taking the listed versions for all there were (a release that ends while the fleet restarts would be joined); the history of the store's watch (20 s of heartbeats of all upstreams at each start). Change: two daemons, found by hash, store the versions of all services when one appears or its last upstream disappears; a daemon that starts reads them once. One value, no lease. Conclusion: only streams whose daemon and replicas died together are refused, and only while several versions may have begun them.

--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -58,6 +58,7 @@
 	lost         float64
 	messageDelay time.Duration
 	duration     time.Duration
+	allComplete  bool // every stream has to be completed
 }
 
 // versionFleet is a fleet of forwarders whose upstreams and daemons crash.
@@ -69,6 +70,7 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	daemons   []*versionDaemon
+	stored    registrar.SoftwareHistory // what the daemons have stored
 	members   []netip.AddrPort
 	others    [][]netip.AddrPort               // by daemon, the members without it
 	crashed   map[netip.AddrPort]chan struct{} // closed when the upstream crashes
@@ -141,6 +143,7 @@
 		SetMetadata: func(h http.Header, m Metadata) { h.Set("Last", m.ResumeAfter); h.Set("Upstream", string(m.Upstream)) },
 	})
 	d.update(f.entries())
+	d.registrar.MergeSoftware(f.stored)
 }
 
 // update gives a daemon the current list of upstreams, as its watch of the store does.
@@ -399,6 +402,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entries := f.entries()
+	f.stored = f.daemons[0].registrar.SoftwareHistory()
 	for _, d := range f.daemons {
 		time.AfterFunc(time.Duration(f.random.Int64N(int64(listInterval))), func() { d.update(entries) })
 	}
@@ -462,7 +466,7 @@
 		{name: "messages are lost", daemons: 7, upstreams: 18, softwareOf: twoVersions, rate: 40, upstreamCrashes: 3, crashInterval: 2 * time.Second, daemonCrashes: 1, restartInterval: 3 * time.Second, messageDelay: small, lost: 0.2},
 		{name: "release", daemons: 7, upstreams: 18, softwareOf: release, rate: 40, upstreamCrashes: 3, crashInterval: time.Second, daemonCrashes: 1, restartInterval: 3 * time.Second, messageDelay: small},
 		{name: "versions come and go", daemons: 7, upstreams: 18, softwareOf: trial, rate: 40, upstreamCrashes: 3, crashInterval: time.Second, daemonCrashes: 2, restartInterval: 3 * time.Second, messageDelay: small},
-		{name: "one version", daemons: 7, upstreams: 18, softwareOf: oneVersion, rate: 40, upstreamCrashes: 3, crashInterval: time.Second, daemonCrashes: 7, restartInterval: 10 * time.Second, messageDelay: small},
+		{name: "one version", daemons: 7, upstreams: 18, softwareOf: oneVersion, rate: 40, upstreamCrashes: 3, crashInterval: time.Second, daemonCrashes: 7, restartInterval: 10 * time.Second, messageDelay: small, allComplete: true},
 		{name: "large fleet", daemons: 295, upstreams: 100, softwareOf: threeVersions, rate: 200, upstreamCrashes: 20, crashInterval: 2 * time.Second, daemonCrashes: 60, restartInterval: 3 * time.Second, messageDelay: large, duration: 12 * time.Second},
 	}
 	for _, tt := range tests {
@@ -482,6 +486,9 @@
 					t.Logf("seed %d: %d joined, %d torn, %d complete, begun %d of %d, went on %d of %d", seed, f.joined, f.torn, f.complete, f.begun, f.begun+f.notBegun, f.takenFurther, f.takenUp)
 					require.Zero(t, f.joined)
 					require.Zero(t, f.torn)
+					if tt.allComplete {
+						require.Equal(t, tt.rate*int(tt.duration/time.Second), f.complete, "nothing is refused")
+					}
 					if f.takenUp >= 12 {
 						goneOn, began := float64(f.takenFurther)/float64(f.takenUp), float64(f.begun)/float64(f.begun+f.notBegun)
 						require.GreaterOrEqual(t, goneOn, began/2)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -295,6 +295,7 @@
 	tasks.Go(func() error { d.configurationReplicator.Run(background); return nil })
 	tasks.Go(func() error { d.upstreamReplicator.Run(background); return nil })
 	tasks.Go(func() error { d.loadQuarantine(background); return nil })
+	tasks.Go(func() error { d.keepSoftware(background); return nil })
 	tasks.Go(func() error { d.shares.Run(background); return nil })
 	tasks.Go(func() error { d.maintain(background); return nil })
 	tasks.Go(func() error { return d.announce(background) })
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -52,6 +52,9 @@
 	// StreamMessageFailed is logged when a message about the software version of a stream cannot be
 	// sent or read.
 	StreamMessageFailed Code = 2407
+	// SoftwareNotStored is logged when the software versions of services cannot be loaded from the
+	// store or written to it. The daemon tries again.
+	SoftwareNotStored Code = 2408
 )
 
 var _ = declare(eventNames{
@@ -77,4 +80,5 @@
 	LingerNotSet:        "linger_not_set",
 	StreamContinued:     "stream_continued",
 	StreamMessageFailed: "stream_message_failed",
+	SoftwareNotStored:   "software_not_stored",
 })
--- a/registrar/software_test.go
+++ b/registrar/software_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumline/contractor"
+	"laburnumline/emulator"
 	"laburnumline/persister"
 )
 
@@ -64,3 +66,65 @@
 	r.Apply(change("a", "v1"))
 	require.Zero(t, r.SoftwareHistory()["drafts"]["v1"], "listed again")
 }
+
+// The whole fleet dies right after a version has disappeared. The daemons that start know from the
+// store that streams of it may be taken up. Daemons that see the same change write it once.
+func TestHistoryOutlivesTheFleet(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	one, other := newSoftwareRegistrar(&now), newSoftwareRegistrar(&now)
+	oneStore := &SoftwareStore{Store: store, Registrar: one, Timeout: time.Second}
+	otherStore := &SoftwareStore{Store: store, Registrar: other, Timeout: time.Second}
+	save := func() contractor.Revision {
+		require.NoError(t, oneStore.Save(t.Context()))
+		now = now.Add(time.Millisecond)
+		require.NoError(t, otherStore.Save(t.Context()))
+		return store.Peek(softwareKey).Revision
+	}
+	apply := func(c persister.Change) {
+		one.Apply(c)
+		now = now.Add(time.Millisecond)
+		other.Apply(c)
+	}
+	apply(change("a", "v1"))
+	first := save()
+	apply(change("b", "v1"))
+	require.Equal(t, first, save(), "no version has changed")
+	apply(change("b", "v2"))
+	apply(change("a", ""))
+	second := save()
+	require.Greater(t, second, first)
+
+	now = now.Add(5 * time.Second)
+	started := newSoftwareRegistrar(&now)
+	started.Apply(change("b", "v2"))
+	require.NoError(t, (&SoftwareStore{Store: store, Registrar: started, Timeout: time.Second}).Load(t.Context()))
+	versions, complete := started.SoftwareVersions("drafts")
+	require.Equal(t, []string{"v1", "v2"}, versions)
+	require.True(t, complete)
+
+	now = now.Add(SoftwareRetention)
+	apply(change("c", "v2"))
+	save()
+	started = newSoftwareRegistrar(&now)
+	started.Apply(change("b", "v2"))
+	require.NoError(t, (&SoftwareStore{Store: store, Registrar: started, Timeout: time.Second}).Load(t.Context()))
+	versions, _ = started.SoftwareVersions("drafts")
+	require.Equal(t, []string{"v2"}, versions)
+}
+
+// Without the store nothing is known about the time before the start.
+func TestHistoryIsIncompleteWithoutStore(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	r := newSoftwareRegistrar(&now)
+	s := &SoftwareStore{Store: store, Registrar: r, Timeout: time.Second}
+	store.SetFaults(emulator.StoreFaults{Outage: true})
+	require.Error(t, s.Load(t.Context()))
+	_, complete := r.SoftwareVersions("drafts")
+	require.False(t, complete)
+	store.SetFaults(emulator.StoreFaults{})
+	require.NoError(t, s.Load(t.Context()))
+	_, complete = r.SoftwareVersions("drafts")
+	require.True(t, complete)
+}
