executor, router: streams of the own interface resume at their software version

Change: the announcement of an engine has 'software'; a stream resumes only at an engine with the version that delivered its first tokens. Engines without the field are of one version, as before. Before: TestStreamResumesAtItsSoftwareVersion fails without the change of executor/complete.go; after: it passes, and TestResumedStreamKeepsItsSoftwareVersion with it.

--- a/contractor/upstream.go
+++ b/contractor/upstream.go
@@ -61,4 +61,7 @@
 	Fenced bool `json:"fenced,omitempty" cbor:"10,keyasint,omitempty"`
 	// Leaving is true once the operator has announced the upstream's removal.
 	Leaving bool `json:"leaving,omitempty" cbor:"11,keyasint,omitempty"`
+	// Software is the version of an engine's software. A stream resumes only at an engine with
+	// the version that began it.
+	Software string `json:"software,omitempty" cbor:"12,keyasint,omitempty"`
 }
--- a/executor/complete.go
+++ b/executor/complete.go
@@ -39,8 +39,10 @@
 	maxOutput   contractor.Tokens
 	// delivered is the number of output tokens that the caller has received.
 	delivered contractor.Tokens
-	usage     conductor.Usage
-	started   time.Time
+	// software is the version of the engine that delivered the first of them.
+	software string
+	usage    conductor.Usage
+	started  time.Time
 	// admissionPriority is 1 if the account uses less than its share, otherwise 0.
 	admissionPriority int
 	// admissionOutcome is the result of the last attempt for the limiter.
@@ -195,6 +197,8 @@
 		PromptTokens: c.request.PromptTokens,
 		MaxOutput:    c.maxOutput,
 		Priority:     c.admissionPriority,
+		Resume:       c.delivered > 0,
+		Software:     c.software,
 		Exclude:      c.query.Exclude,
 		Exclusive:    p.request != nil && p.request.Exclusive,
 		AntiAffinity: p.request != nil && !p.request.Exclusive,
@@ -328,6 +332,9 @@
 		if time.Since(start)-firstToken >= quarantiner.OutputTime {
 			x.recordServed(c)
 		}
+		if c.delivered == 0 {
+			c.software = u.Software
+		}
 		if err := c.deliver(chunk); err != nil {
 			return firstToken, err
 		}
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -35,6 +35,10 @@
 	attempts []fakeAttempt
 	keys     []contractor.RequestKey
 	offsets  []contractor.Tokens
+	// software is the version of the next upstreams that are chosen, queries are the queries for
+	// them.
+	software []string
+	queries  []router.Query
 }
 
 // fakeAttempt is the outcome of one attempt at an upstream.
@@ -74,9 +78,14 @@
 	return []contractor.Upstream{{Name: "desk-1", Kind: contractor.KindService, Service: "desk", Price: 7}}
 }
 
-func (f *fakeDependencies) Choose(time.Time, router.Query) (router.Choice, error) {
+func (f *fakeDependencies) Choose(_ time.Time, q router.Query) (router.Choice, error) {
 	f.recordStep("choose")
-	return router.Choice{Upstream: contractor.Upstream{Name: "upstream-1"}}, nil
+	f.queries = append(f.queries, q)
+	u := contractor.Upstream{Name: "upstream-1"}
+	if len(f.software) > 0 {
+		u.Software, f.software = f.software[0], f.software[1:]
+	}
+	return router.Choice{Upstream: u}, nil
 }
 
 func (f *fakeDependencies) Finish(time.Time, string, router.Query, router.Outcome, time.Duration) {
@@ -265,6 +274,22 @@
 	require.Equal(t, []contractor.Tokens{0, 1, 2, 3, 4, 5}, s.offsets)
 }
 
+// A broken stream must resume at an engine with the software version that began it. An attempt
+// that delivered nothing does not determine it.
+func TestStreamResumesAtItsSoftwareVersion(t *testing.T) {
+	f := &fakeDependencies{software: []string{"v1", "v2", "v2"}, attempts: []fakeAttempt{
+		{startErr: newFailure(dispatcher.NotSent, true)},
+		{chunks: chunks(0, 3), endErr: newFailure(dispatcher.PartialResponse, false)},
+		{chunks: chunks(3, 6)},
+	}}
+	_, err := newTestExecutor(f).Complete(t.Context(), testCompletion(), &fakeSink{})
+	require.NoError(t, err)
+	require.Len(t, f.queries, 3)
+	require.False(t, f.queries[1].Resume)
+	require.True(t, f.queries[2].Resume)
+	require.Equal(t, "v2", f.queries[2].Software)
+}
+
 // Guards against charging a caller for tokens that it did not receive: the sink fails at the
 // first chunk, although the upstream has produced five tokens.
 func TestDisconnectedCallerIsBilledForDeliveredTokens(t *testing.T) {
--- a/router/choose.go
+++ b/router/choose.go
@@ -192,6 +192,9 @@
 
 // admits reports whether an upstream may run a request.
 func (r *Router) admits(now instant, q *Query, n *node) bool {
+	if q.Resume && n.upstream.Load().Software != q.Software {
+		return false
+	}
 	return !n.closed.Load() && n.admits(now, q) && !n.nameIn(q.Exclude) && r.config.Limits.Allows(r.time(now), n.limitID)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -59,6 +59,9 @@
 	MaxOutput    contractor.Tokens
 	// Priority is above zero for requests that engines schedule before others.
 	Priority int
+	// Resume requires an upstream with the version Software.
+	Resume   bool
+	Software string
 	// Exclude names the upstreams that were already tried.
 	Exclude []string
 	// Pin names an upstream. If that one is open, serves the target and is not in
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -238,3 +238,27 @@
 	require.NoError(t, err)
 	require.NotEqual(t, "runner-7", choice.Upstream.Name)
 }
+
+// A stream that resumes must not go to an engine with another software version, however idle it is.
+func TestResumedStreamKeepsItsSoftwareVersion(t *testing.T) {
+	r := New(Config{Zone: "gulf-south-a"})
+	list := engines(4)
+	for i := range list {
+		list[i].Software = fmt.Sprint("v", i%2)
+	}
+	r.SetUpstreams(start, list)
+	q := Query{Target: "quote-model", Resume: true, Software: "v1"}
+	for range 20 {
+		c, err := r.Choose(start, q)
+		require.NoError(t, err)
+		require.Equal(t, "v1", c.Upstream.Software)
+	}
+	q.Software = ""
+	_, err := r.Choose(start, q)
+	var refusal *refuser.Refusal
+	require.True(t, errors.As(err, &refusal))
+	require.Equal(t, refuser.NoUpstream, refusal.Reason)
+	q.Resume = false
+	_, err = r.Choose(start, q)
+	require.NoError(t, err)
+}
