--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -59,6 +59,9 @@
 	// request with that part, and is back after CrashDowntime. Empty means no part.
 	CrashPart     string
 	CrashDowntime time.Duration
+	// Software is the version of the runner's software, which its events name. Empty means that
+	// they name none.
+	Software string
 }
 
 // Runner is a fake upstream with the HTTP protocol of the users' platform.
@@ -192,7 +195,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	after := resumeAfter(request)
 	for i := after + 1; i <= r.config.Events; i++ {
-		text := RunnerEvent(i)
+		text := RunnerEvent(i, r.config.Software)
 		if fault == RunnerTruncate && i == after+(r.config.Events-after+1)/2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = http.NewResponseController(w).Flush()
@@ -214,7 +217,7 @@
 	body, plain := "done "+request.URL.Path, r.config.Events == 0
 	if !plain {
 		header.Set("Content-Type", "text/event-stream")
-		body = strings.TrimPrefix(RunnerStream(r.config.Events), RunnerStream(resumeAfter(request)))
+		body = strings.TrimPrefix(VersionedStream(r.config.Events, r.config.Software), VersionedStream(resumeAfter(request), r.config.Software))
 	}
 	if truncate {
 		body = body[:truncatedLength(body)]
@@ -251,14 +254,24 @@
 	return after
 }
 
-// RunnerEvent returns the i-th event of a stream.
-func RunnerEvent(i int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i) }
+// RunnerEvent returns the i-th event of a stream from a runner with a version of its software, which
+// may be empty.
+func RunnerEvent(i int, software string) string {
+	if software != "" {
+		return fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", i, i, software)
+	}
+	return fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i)
+}
+
+// RunnerStream returns the whole stream of a runner with this number of events and no version.
+func RunnerStream(events int) string { return VersionedStream(events, "") }
 
-// RunnerStream returns the whole stream of a runner with this number of events.
-func RunnerStream(events int) string {
+// VersionedStream returns the whole stream of a runner with this number of events and a version of
+// its software, which may be empty.
+func VersionedStream(events int, software string) string {
 	var b strings.Builder
 	for i := 1; i <= events; i++ {
-		b.WriteString(RunnerEvent(i))
+		b.WriteString(RunnerEvent(i, software))
 	}
 	return b.String()
 }
--- a/soaker/fixture.go
+++ b/soaker/fixture.go
@@ -24,6 +24,8 @@
 	tokensPerEvent      = 3
 	outputTokens        = eventsPerResponse * tokensPerEvent
 	upstreamsPerService = 2
+	// Each version of the model's software runs on upstreamsPerService upstreams.
+	firstSoftware, secondSoftware = "v1", "v2"
 	// topUpTokens is the number of tokens that a top-up adds to the account's prepaid tokens.
 	topUpTokens = 5_000
 	// crashPart is the prompt part with which a request crashes an engine for crashDowntime.
@@ -60,20 +62,30 @@
 	f.writeConfiguration()
 	for i := range upstreamsPerService {
 		desk := emulator.NewRunner(emulator.RunnerConfig{Name: fmt.Sprint("desk-", i)})
-		model := emulator.NewRunner(emulator.RunnerConfig{
-			Name: fmt.Sprint("model-", i), Events: eventsPerResponse, EventInterval: 2 * time.Millisecond, CrashPart: crashPart, CrashDowntime: crashDowntime,
-		})
-		if err := f.announce(fmt.Sprint("desk-", i), "desk", desk); err != nil {
+		if err := f.announce(fmt.Sprint("desk-", i), "desk", firstSoftware, desk); err != nil {
 			return nil, err
 		}
-		if err := f.announce(fmt.Sprint("model-", i), "model", model); err != nil {
-			return nil, err
+		f.deskUpstreams = append(f.deskUpstreams, desk)
+		for _, software := range softwareVersions {
+			if err := f.addModel(fmt.Sprint("model-", i, "-", software), software); err != nil {
+				return nil, err
+			}
 		}
-		f.deskUpstreams, f.modelUpstreams = append(f.deskUpstreams, desk), append(f.modelUpstreams, model)
 	}
 	return f, nil
 }
 
+var softwareVersions = []string{firstSoftware, secondSoftware}
+
+func (f *fixture) addModel(name, software string) error {
+	model := emulator.NewRunner(emulator.RunnerConfig{
+		Name: name, Events: eventsPerResponse, EventInterval: 2 * time.Millisecond, CrashPart: crashPart, CrashDowntime: crashDowntime,
+		Software: software,
+	})
+	f.modelUpstreams = append(f.modelUpstreams, model)
+	return f.announce(name, "model", software, model)
+}
+
 func (f *fixture) close() {
 	_ = f.storeServer.Close()
 	for _, r := range append(f.deskUpstreams, f.modelUpstreams...) {
@@ -82,14 +94,14 @@
 }
 
 // announce starts an upstream and registers it in the store.
-func (f *fixture) announce(name, service string, r *emulator.Runner) error {
+func (f *fixture) announce(name, service, software string, r *emulator.Runner) error {
 	url, err := r.Serve()
 	if err != nil {
 		return err
 	}
 	f.store.PutAsOperator("servers/"+name, fmt.Appendf(nil,
-		`{"backend":%q,"address":%q,"zone":"z","version":"v1","batchSlots":64,"phase":"ready","warmupLeftMs":0,"seq":1}`,
-		service, strings.TrimPrefix(url, "http://")))
+		`{"backend":%q,"address":%q,"zone":"z","version":%q,"batchSlots":64,"phase":"ready","warmupLeftMs":0,"seq":1}`,
+		service, strings.TrimPrefix(url, "http://"), software))
 	return nil
 }
 
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -59,17 +59,17 @@
 	if status != http.StatusOK {
 		return
 	}
-	want := completeResponse(a.request, a.id)
+	complete := completeResponses(a.request, a.id)
 	if a.request.path == "/drafts/" && body != "" {
 		h.usedTokens += promptTokens + tokensPerEvent*strings.Count(body, "\n\n")
 	}
 	switch {
-	case bodyErr != nil && !strings.HasPrefix(want, body):
+	case bodyErr != nil && !slices.ContainsFunc(complete, func(want string) bool { return strings.HasPrefix(want, body) }):
 		h.addViolationLocked("request %s: what came of its answer is not of it: %q", a.id, body)
 	case bodyErr != nil:
 	case signature == "":
 		h.addViolationLocked("request %s: a success is not signed", a.id)
-	case body != want:
+	case !slices.Contains(complete, body):
 		h.addViolationLocked("request %s: an answer that ends as whole is not: %q", a.id, body)
 	default:
 		h.served++
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -13,6 +13,8 @@
 //   - a non-idempotent request is executed at most once, and a refused request never;
 //   - a response that ends without an error is the complete response to this request;
 //   - after the faults have ended, every daemon serves requests under the newest configuration;
+//   - a stream holds events of one version of the upstreams' software, also if its caller takes it up
+//     at another daemon;
 //   - requests with a prompt part that crashes engines are soon refused by every daemon, and the
 //     others served.
 //
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -6,10 +6,13 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumline/emulator"
 )
 
 // regressions lists the seeds with which a guarantee was once violated, and the cause.
@@ -65,6 +68,28 @@
 	}
 }
 
+// Guards against a checker that accepts a stream with events of two software versions.
+func TestHistoryReportsJoinedVersions(t *testing.T) {
+	first, second := emulator.VersionedStream(eventsPerResponse, firstSoftware), emulator.VersionedStream(eventsPerResponse, secondSoftware)
+	half := emulator.VersionedStream(eventsPerResponse/2, firstSoftware)
+	tests := []struct {
+		name, received, body string
+		violated             bool
+	}{
+		{"one version", "", second, false},
+		{"taken up", half, strings.TrimPrefix(first, half), false},
+		{"resumed at another version", "", half + second[len(half):], true},
+		{"taken up at another version", half, second[len(half):], true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHistory()
+			h.finish(h.begin(request{path: "/drafts/", key: firstKey, received: tt.received}), http.StatusOK, "s", tt.body, nil)
+			require.Equal(t, tt.violated, len(h.violations) > 0, h.violations)
+		})
+	}
+}
+
 // Guards against a checker that misses a non-idempotent request that was executed twice, or one
 // that was executed although its response stated that it never would be.
 func TestHistoryReportsExecutionAfterRefusalAndRepeatedExecution(t *testing.T) {
@@ -91,7 +116,7 @@
 	defer f.close()
 	h := newHistory()
 	a := h.begin(request{path: "/drafts/", key: firstKey})
-	h.finish(a, http.StatusOK, "s", completeResponse(a.request, a.id), nil)
+	h.finish(a, http.StatusOK, "s", completeResponses(a.request, a.id)[0], nil)
 	h.checkPrepaid(promptTokens+outputTokens, a.id)
 	require.Empty(t, h.check(f).Violations)
 	h.checkPrepaid(promptTokens+outputTokens-1, a.id)
