soaker: upstreams that state request limits

Change: upstreams state limits at random during the faults; after them one of each service states three requests a second while callers send several times as much, and no window of 4 s may have more than the users' rule allows.

--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -72,10 +74,13 @@
 	mu         sync.Mutex
 	faults     []RunnerFault
 	executions []RunnerExecution
+	arrivals   []time.Time
+	// limit is the request limit that responses state, or negative.
+	limit float64
 }
 
 // NewRunner returns a runner. Serve starts it.
-func NewRunner(c RunnerConfig) *Runner { return &Runner{config: c} }
+func NewRunner(c RunnerConfig) *Runner { return &Runner{config: c, limit: -1} }
 
 // Serve starts the runner on a loopback address, which it returns.
 func (r *Runner) Serve() (string, error) { return r.serve(r) }
@@ -87,6 +92,32 @@
 	r.faults = append(r.faults, faults...)
 }
 
+// SetRequestLimit sets the limit that responses state, in requests per second from all daemons. The
+// runner does not enforce it. A negative limit states none.
+func (r *Runner) SetRequestLimit(rate float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = rate
+}
+
+// Arrivals returns the times of all requests since the start, also of those that were rejected.
+func (r *Runner) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrivals)
+}
+
+// arrive records a request and writes the headers of all responses.
+func (r *Runner) arrive(h http.Header, request *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, time.Now())
+	h.Set("Attempt-Id", request.Header.Get("Attempt-Id"))
+	if r.limit >= 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'g', -1, 64))
+	}
+}
+
 // Executions returns the executions since the start.
 func (r *Runner) Executions() []RunnerExecution {
 	r.mu.Lock()
@@ -125,7 +156,7 @@
 		return // the client has disconnected
 	}
 	h := w.Header()
-	h.Set("Attempt-Id", request.Header.Get("Attempt-Id"))
+	r.arrive(h, request)
 	fault := r.nextFault()
 	if expected := request.Header.Get("Expected-Runner"); expected != "" && expected != r.config.Name {
 		fault = RunnerMisdirected
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -51,6 +51,9 @@
 		d.proxy.setMode(modeForward)
 		d.signal(syscall.SIGCONT)
 	}
+	for _, r := range s.fixture.modelUpstreams {
+		r.SetRequestLimit(-1)
+	}
 	s.logf("calm")
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -15,6 +15,7 @@
 //   - after the faults have ended, every daemon serves requests under the newest configuration;
 //   - a stream holds events of one version of the upstreams' software, also if its caller takes it up
 //     at another daemon;
+//   - an upstream that states a request limit gets no more from all daemons together;
 //   - requests with a prompt part that crashes engines are soon refused by every daemon, and the
 //     others served.
 //
@@ -126,6 +127,7 @@
 	if err := s.awaitRecovery(ctx); err != nil {
 		s.history.addViolation("not served again: %v", err)
 	}
+	s.checkLimits(ctx)
 	s.checkQuarantine(ctx)
 	return s.report(), ctx.Err()
 }
@@ -140,6 +142,7 @@
 		random := rand.New(rand.NewPCG(s.config.Seed, uint64(i+1)))
 		senders.Go(func() error { s.sendRequests(ctx, random); return nil })
 	}
+	senders.Go(func() error { s.stateLimits(ctx); return nil })
 	s.injectFaults(ctx)
 	_ = senders.Wait() // the functions return no errors
 	s.clearFaults()
