throttler: upstreams that turn requests away are left alone until their Retry-After

Cause: the Retry-After of upstreams was not read; a full upstream was only made expensive for a second. Ruled out: the ejection of failing upstreams, which is overridden if more than half are ejected and ends with a success. Change: the throttler keeps the pause of each upstream and the choice leaves it out, also if all others are ejected or tried; the latest end counts, an hour at most. If nothing is left, the request is refused with the time until the first pause ends. The own interface does the same for 503 with Retry-After.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -114,8 +114,8 @@
 	prefill time.Duration
 	// started is true once the response has started.
 	started bool
-	// RetryAfter is set if no upstream was chosen because all state request limits: the mean
-	// time until one of them accepts another request.
+	// RetryAfter is set if no upstream was chosen because of request limits or pauses: the
+	// expected time until one of them accepts another request.
 	RetryAfter time.Duration
 }
 
@@ -151,7 +151,7 @@
 	Allows(now time.Time, id throttler.ID) bool
 	Take(now time.Time, id throttler.ID) bool
 	IsStale(now time.Time, id throttler.ID) bool
-	RetryAfter(ids iter.Seq[throttler.ID]) time.Duration
+	RetryAfter(now time.Time, ids iter.Seq[throttler.ID]) time.Duration
 }
 
 // Config holds what a Balancer needs.
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -28,7 +28,7 @@
 	defer b.mu.Unlock()
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
-		return Choice{RetryAfter: b.config.Limits.RetryAfter(b.limitIDs(q))}, false
+		return Choice{RetryAfter: b.config.Limits.RetryAfter(now, b.limitIDs(q))}, false
 	}
 	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.staleLimit }); i >= 0 {
 		candidates = candidates[i : i+1]
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -61,6 +61,9 @@
 	// HasLoad is true if Running, Waiting and Slots hold the load of the upstream.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// RetryAfter is the time for which the upstream wants no further request after it has turned
+	// this one away. Zero means that it states none.
+	RetryAfter time.Duration
 	// RequestLimit is the request limit that the upstream states.
 	RequestLimit throttler.Limit
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -156,5 +156,8 @@
 	if value := resp.Header.Get(HeaderRequestLimit); value != "" {
 		r.Limit = throttler.Limit{Stated: true, Rate: throttler.ParseRate(value)}
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		r.Pause = throttler.ParsePause(resp.Header.Get("Retry-After"))
+	}
 	d.config.Limits.Record(throttler.IDOf(upstream, 0), r)
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -159,10 +159,15 @@
 	return failed
 }
 
+// recordLimit records which requests the upstream of a response still accepts.
 func (x *exchange) recordLimit(u *registrar.Upstream, sentAt time.Time, response *connector.Response) {
-	x.forwarder.config.Limits.Record(u.LimitID(), throttler.Response{
+	r := throttler.Response{
 		Upstream: string(u.Name), SentAt: sentAt, ReceivedAt: time.Now(), Retry: x.sends > 0, Limit: response.Metadata.RequestLimit,
-	})
+	}
+	if response.Status == http.StatusServiceUnavailable {
+		r.Pause = response.Metadata.RetryAfter
+	}
+	x.forwarder.config.Limits.Record(u.LimitID(), r)
 }
 
 func (x *exchange) upstreamCall(choice balancer.Choice) *connector.Call {
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -27,6 +27,8 @@
 	// UpstreamLimited is logged when an upstream states another request limit than before, or none
 	// any more.
 	UpstreamLimited Code = 2003
+	// UpstreamPaused is logged when an upstream wants no requests from this daemon for some time.
+	UpstreamPaused Code = 2004
 	// OrderFailed is logged when an engine fails to execute an order, such as to load a model.
 	OrderFailed Code = 2201
 	// UpstreamListed is logged when the entry of an upstream appears or changes its state.
@@ -61,6 +63,7 @@
 	UpstreamEjected:     "upstream_ejected",
 	UpstreamRecovered:   "upstream_recovered",
 	UpstreamLimited:     "upstream_limited",
+	UpstreamPaused:      "upstream_paused",
 	RequestSuspected:    "request_suspected",
 	RequestQuarantined:  "request_quarantined",
 	SuspectsNotShared:   "suspects_not_shared",
--- a/router/router.go
+++ b/router/router.go
@@ -176,7 +176,7 @@
 	Allows(now time.Time, id throttler.ID) bool
 	Take(now time.Time, id throttler.ID) bool
 	IsStale(now time.Time, id throttler.ID) bool
-	RetryAfter(ids iter.Seq[throttler.ID]) time.Duration
+	RetryAfter(now time.Time, ids iter.Seq[throttler.ID]) time.Duration
 }
 
 // originAge is the age of Router.origin when the router is created. It is longer
@@ -267,7 +267,7 @@
 	index := r.index.Load()
 	pool := index.pool(q.Kind, q.Target)
 	if pool == nil {
-		return Choice{}, r.refuse(q, nil)
+		return Choice{}, r.refuse(now, q, nil)
 	}
 	if q.Zone == "" {
 		q.Zone = r.config.Zone
@@ -285,7 +285,7 @@
 	for {
 		x := r.pick(&c)
 		if x == nil {
-			return Choice{}, r.refuse(q, pool)
+			return Choice{}, r.refuse(now, q, pool)
 		}
 		if !r.config.Limits.Take(now, x.node.limitID) || !x.node.begin(at, &q, x.prefill) {
 			x.estimate = ineligible
@@ -300,12 +300,12 @@
 
 // refuse returns the refusal of a request that no upstream of the pool may run. The pool is nil if
 // no upstream serves the target.
-func (r *Router) refuse(q Query, p *pool) error {
+func (r *Router) refuse(now time.Time, q Query, p *pool) error {
 	r.config.Recorder.Count("router.no_upstream", 1)
 	if p == nil {
 		return refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(time.Second).WithDetail("%s %q: no upstream serves it", q.Kind, q.Target)
 	}
-	if retryAfter := r.config.Limits.RetryAfter(p.limitIDs()); retryAfter > 0 {
+	if retryAfter := r.config.Limits.RetryAfter(now, p.limitIDs()); retryAfter > 0 {
 		return refuser.New(refuser.UpstreamLimited, "choose").WithRetryAfter(retryAfter).WithDetail("%s %q: no upstream accepts more requests", q.Kind, q.Target)
 	}
 	return refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(time.Second).
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -1,5 +1,8 @@
 // Package throttler keeps the request limits that upstreams state.
 //
+// An upstream that turns a request away may state a time for which it wants no further ones
+// from this daemon, a pause.
+//
 // An upstream in need states in its responses how many requests per second it accepts from
 // all daemons together. The limit applies from then on until a response without one.
 // Responses can overtake each other: one without a limit, or with a higher one, counts only
@@ -68,6 +71,18 @@
 	return rate
 }
 
+// ParsePause returns the time in a Retry-After header in seconds, at most maxPause. A text that is
+// not a number of seconds states no pause.
+func ParsePause(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
+}
+
+const maxPause = time.Hour
+
 // Response is what a response says about the limit of its upstream.
 type Response struct {
 	// Upstream is the name for logs.
@@ -77,6 +92,9 @@
 	// Retry is true if it was not the first attempt of the request.
 	Retry bool
 	Limit Limit
+	// Pause is how long the upstream wants no request from this daemon. Zero means that it states
+	// none.
+	Pause time.Duration
 }
 
 // Config holds what a Throttler needs.
@@ -98,11 +116,13 @@
 // Throttler holds the limits of all upstreams. It is safe for concurrent use.
 type Throttler struct {
 	config Config
-	// limited is the number of upstreams with a limit.
-	limited atomic.Int64
+	// restricted is the number of limits and pauses.
+	restricted atomic.Int64
 
-	mu      sync.Mutex
-	limits  map[ID]*state
+	mu     sync.Mutex
+	limits map[ID]*state
+	// pauses has the end of the pause of each upstream.
+	pauses  map[ID]time.Time
 	members members
 }
 
@@ -128,19 +148,49 @@
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
-	return &Throttler{config: c, limits: make(map[ID]*state)}
+	return &Throttler{config: c, limits: make(map[ID]*state), pauses: make(map[ID]time.Time)}
 }
 
 // Record records what a response says about the limit of its upstream.
 func (t *Throttler) Record(id ID, r Response) {
-	if !r.Limit.Stated && t.limited.Load() == 0 {
+	if !r.Limit.Stated && r.Pause <= 0 && t.restricted.Load() == 0 {
 		return
 	}
+	t.pause(id, r)
 	if t.record(id, r) {
 		t.config.Changed()
 	}
 }
 
+// pause records the pause of an upstream. The latest end counts.
+func (t *Throttler) pause(id ID, r Response) {
+	if r.Pause <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	end, paused := t.pauses[id]
+	if !paused {
+		t.restricted.Add(1)
+		t.config.Recorder.Event(recorder.UpstreamPaused, "upstream", r.Upstream, "pause", r.Pause)
+	}
+	if until := r.ReceivedAt.Add(r.Pause); until.After(end) {
+		t.pauses[id] = until
+	}
+}
+
+// isPaused reports whether an upstream wants no request now. It deletes a pause that has ended. The
+// lock is held.
+func (t *Throttler) isPaused(now time.Time, id ID) bool {
+	end, paused := t.pauses[id]
+	if paused && !now.Before(end) {
+		t.restricted.Add(-1)
+		delete(t.pauses, id)
+		return false
+	}
+	return paused
+}
+
 // record reports whether the limit has changed.
 func (t *Throttler) record(id ID, r Response) bool {
 	t.mu.Lock()
@@ -180,7 +230,7 @@
 		if !l.Stated {
 			change = -1
 		}
-		t.limited.Add(change)
+		t.restricted.Add(change)
 		s.share = share{}
 	}
 	if l.Rate != s.limit.Rate {
@@ -199,7 +249,7 @@
 
 // LimitOf returns the limit of an upstream.
 func (t *Throttler) LimitOf(id ID) Limit {
-	if t.limited.Load() == 0 {
+	if t.restricted.Load() == 0 {
 		return Limit{}
 	}
 	t.mu.Lock()
@@ -212,11 +262,14 @@
 
 // Allows reports whether this daemon may send a request to an upstream now.
 func (t *Throttler) Allows(now time.Time, id ID) bool {
-	if t.limited.Load() == 0 {
+	if t.restricted.Load() == 0 {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.isPaused(now, id) {
+		return false
+	}
 	s := t.limits[id]
 	return s == nil || !s.limit.Stated || t.allows(now, id, s)
 }
@@ -225,23 +278,35 @@
 // whether the limit still applies.
 const recheckInterval = 5 * time.Second
 
-// RetryAfter returns the mean time until one of some upstreams accepts another request of the
-// fleet, or zero if none states a limit. Another daemon may have the share that allows it.
-func (t *Throttler) RetryAfter(ids iter.Seq[ID]) time.Duration {
-	stated, rate := false, 0.0
+// RetryAfter returns the expected time until one of some upstreams accepts another request of the
+// fleet, or zero if none has a limit or a pause. Another daemon may have the share that allows it.
+func (t *Throttler) RetryAfter(now time.Time, ids iter.Seq[ID]) time.Duration {
+	if t.restricted.Load() == 0 {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait, rate := time.Duration(0), 0.0
 	for id := range ids {
-		if limit := t.LimitOf(id); limit.Stated {
-			stated = true
-			rate += limit.Rate
+		if t.isPaused(now, id) {
+			if rest := t.pauses[id].Sub(now); wait == 0 || rest < wait {
+				wait = rest
+			}
+			continue
+		}
+		if s := t.limits[id]; s != nil && s.limit.Stated {
+			rate += max(s.limit.Rate, minRate)
+		}
+	}
+	if rate > 0 {
+		if mean := time.Duration(float64(time.Second) / rate); wait == 0 || mean < wait {
+			wait = mean
 		}
 	}
-	switch {
-	case !stated:
+	if wait == 0 {
 		return 0
-	case rate*maxRetryAfter.Seconds() <= 1:
-		return maxRetryAfter
 	}
-	return max(time.Duration(float64(time.Second)/rate), minRetryAfter)
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
 const (
@@ -252,7 +317,7 @@
 // IsStale reports whether an upstream has stated its limit to no daemon for recheckInterval, as far
 // as this daemon knows.
 func (t *Throttler) IsStale(now time.Time, id ID) bool {
-	if t.limited.Load() == 0 {
+	if t.restricted.Load() == 0 {
 		return false
 	}
 	t.mu.Lock()
@@ -263,11 +328,14 @@
 
 // Take counts a request that is sent to an upstream. It reports whether Allows is true.
 func (t *Throttler) Take(now time.Time, id ID) bool {
-	if t.limited.Load() == 0 {
+	if t.restricted.Load() == 0 {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.isPaused(now, id) {
+		return false
+	}
 	s := t.limits[id]
 	if s == nil || !s.limit.Stated {
 		return true
@@ -279,7 +347,7 @@
 	return true
 }
 
-// Retain deletes the limits of all upstreams except the listed ones.
+// Retain deletes the limits and pauses of all upstreams except the listed ones.
 func (t *Throttler) Retain(listed map[ID]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -290,4 +358,10 @@
 		t.set(s, Limit{}, s.statedAt)
 		delete(t.limits, id)
 	}
+	for id := range t.pauses {
+		if !listed[id] {
+			t.restricted.Add(-1)
+			delete(t.pauses, id)
+		}
+	}
 }
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -135,5 +135,28 @@
 	}
 	d.Retain(map[ID]bool{1: true})
 	require.Len(t, d.limits, 1)
-	require.Equal(t, int64(1), d.limited.Load())
+	require.Equal(t, int64(1), d.restricted.Load())
+}
+
+// A pause that cannot be read, or of many years, must not keep requests away for ever.
+func TestParsePause(t *testing.T) {
+	tests := []struct {
+		text  string
+		pause time.Duration
+	}{{"1.5", 1500 * time.Millisecond}, {" 2 ", 2 * time.Second}, {"1e30", maxPause}, {"-1", 0}, {"", 0}, {"NaN", 0}, {"soon", 0}, {"Fri, 31 Dec 1999 23:59:59 GMT", 0}}
+	for _, tt := range tests {
+		require.Equal(t, tt.pause, ParsePause(tt.text), tt.text)
+	}
+}
+
+// A shorter pause that is stated later must not end a longer one, and pauses end.
+func TestPauseEndsWithTheLatestTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New(Config{})
+	d.Record(1, Response{ReceivedAt: now, Pause: 5 * time.Second})
+	d.Record(1, Response{ReceivedAt: now.Add(time.Second), Pause: time.Second})
+	require.False(t, d.Allows(now.Add(4999*time.Millisecond), 1))
+	require.Equal(t, 2*time.Second, d.RetryAfter(now.Add(3*time.Second), slices.Values([]ID{1, 2})))
+	require.True(t, d.Allows(now.Add(5*time.Second), 1))
+	require.Zero(t, d.restricted.Load())
 }
