registrar, forwarder: an upstream that states its leaving gets no requests

Cause: the header was not read; only the entry in the store counted, which daemons see late, or not while the store is away. Change: the first response that says so removes the upstream from the list of this daemon, until it starts anew or its entry goes.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -61,6 +61,8 @@
 	// HasLoad is true if Running, Waiting and Slots hold the load of the upstream.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// Leaving is true if the upstream states that it leaves.
+	Leaving bool
 	// RetryAfter is the time for which the upstream wants no further request after it has turned
 	// this one away. Zero means that it states none.
 	RetryAfter time.Duration
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -136,6 +136,9 @@
 		failed = x.sendFailure(err)
 	} else {
 		x.recordLimit(&choice.Upstream, sentAt, response)
+		if response.Metadata.Leaving {
+			f.Upstreams.MarkLeaving(&choice.Upstream)
+		}
 		if response.Metadata.HasLoad {
 			result.Load = &balancer.Load{Running: response.Metadata.Running, Waiting: response.Metadata.Waiting, Slots: response.Metadata.Slots}
 		}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -94,6 +94,8 @@
 
 func (s *fakeUpstreams) Of(resolver.ServiceName) []registrar.Upstream { return s.list }
 
+func (s *fakeUpstreams) MarkLeaving(*registrar.Upstream) {}
+
 func (s *fakeUpstreams) SoftwareVersions(resolver.ServiceName) ([]string, bool) {
 	return []string{""}, true
 }
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -37,6 +37,8 @@
 	UpstreamGone Code = 2302
 	// EntrySkipped is logged when an entry of the store cannot be decoded.
 	EntrySkipped Code = 2303
+	// UpstreamLeaving is logged when an upstream states in a response that it leaves.
+	UpstreamLeaving Code = 2304
 	// RequestRefused is logged when a request gets a refusal instead of an upstream's response.
 	RequestRefused Code = 2401
 	// AttemptFailed is logged when one attempt at an upstream has failed.
@@ -76,6 +78,7 @@
 	UpstreamListed:      "upstream_listed",
 	UpstreamGone:        "upstream_gone",
 	EntrySkipped:        "entry_skipped",
+	UpstreamLeaving:     "upstream_leaving",
 	RequestRefused:      "request_refused",
 	AttemptFailed:       "attempt_failed",
 	AnswerBroken:        "answer_broken",
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -79,6 +79,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry // by key
+	// leaving has the upstreams that have stated that they leave, in this start.
+	leaving map[throttler.ID]bool
 
 	available  atomic.Pointer[map[resolver.ServiceName][]Upstream]
 	generation atomic.Int64
@@ -104,7 +106,7 @@
 	if c.ListAge == nil {
 		c.ListAge = func() time.Duration { return 0 }
 	}
-	r := &Registrar{config: c, entries: make(map[string]*entry), createdAt: c.Now()}
+	r := &Registrar{config: c, entries: make(map[string]*entry), leaving: make(map[throttler.ID]bool), createdAt: c.Now()}
 	r.software.Store(&softwareView{})
 	r.publish()
 	return r
@@ -158,6 +160,18 @@
 // Generation returns a number that increases with each update of the list.
 func (r *Registrar) Generation() int64 { return r.generation.Load() }
 
+// MarkLeaving removes an upstream that has stated that it leaves from the list of Of, until it starts
+// anew. Its entry may be of an earlier time.
+func (r *Registrar) MarkLeaving(u *Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id := u.LimitID(); !r.leaving[id] {
+		r.leaving[id] = true
+		r.config.Recorder.Event(recorder.UpstreamLeaving, "upstream", u.Name, "service", u.Service)
+		r.publish()
+	}
+}
+
 // Reset replaces all entries.
 func (r *Registrar) Reset(entries []persister.Entry) {
 	r.mu.Lock()
@@ -220,6 +234,9 @@
 		r.config.Recorder.Event(recorder.UpstreamListed, "upstream", upstream.Name, "service", upstream.Service,
 			"address", upstream.Address, "software", upstream.Software, "draining", upstream.Draining, "revision", e.Revision)
 	}
+	if old != nil && old.valid && old.upstream.StartedAtMs != upstream.StartedAtMs {
+		delete(r.leaving, old.upstream.LimitID())
+	}
 	r.entries[e.Key] = &entry{upstream: upstream, valid: true}
 }
 
@@ -241,6 +258,7 @@
 func (r *Registrar) drop(key string, e *entry) {
 	delete(r.entries, key)
 	if e.valid {
+		delete(r.leaving, e.upstream.LimitID())
 		r.config.Recorder.Event(recorder.UpstreamGone, "upstream", e.upstream.Name, "service", e.upstream.Service)
 	}
 }
@@ -249,7 +267,7 @@
 func (r *Registrar) publish() {
 	available := make(map[resolver.ServiceName][]Upstream)
 	for _, e := range r.entries {
-		if e.valid && !e.upstream.Draining {
+		if e.valid && !e.upstream.Draining && !r.leaving[e.upstream.LimitID()] {
 			available[e.upstream.Service] = append(available[e.upstream.Service], e.upstream)
 		}
 	}
