replicator: the newest configuration is read after an outage

Cause, as traced before: after an outage the watch answers with all versions since, each large after a big_config; on a slow link this takes longer than 1 s, and the notices of other daemons restart the watch, which begins again. Ruled out: failing calls (a trial that logged them had none in that time). Change: after a failure, or when another daemon is ahead, the replicator of the configuration reads the newest value, which notices do not interrupt, and watches from there. The list of upstreams is watched as before: there the changes are smaller. Before: TestNewestValueIsReadAfterOutage fails (still version 1 of 7 after 2.5 s); after: it passes.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -196,7 +196,7 @@
 	d.registrar = registrar.New(registrar.Config{Decode: c.Adapter.DecodeUpstream, LastFailure: d.lastFailure, ListAge: d.upstreamListAge, Recorder: rec})
 	d.configurationReplicator = replicator.New(replicator.Config{
 		Store: d.store, Prefix: c.Adapter.ConfigurationPrefix, Recorder: rec,
-		Handler: &configurationHandler{daemon: d},
+		Handler: &configurationHandler{daemon: d}, ReloadWhenBehind: true,
 	})
 	d.upstreamReplicator = replicator.New(replicator.Config{
 		Store: d.store, Prefix: c.Adapter.UpstreamPrefix, Recorder: rec, Handler: d.registrar,
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -60,7 +60,11 @@
 	// BatchDelay returns how long to wait after a batch of changes before the watch
 	// continues, so that further changes arrive as one batch. Nil means no delay.
 	BatchDelay func() time.Duration
-	Recorder   *recorder.Recorder
+	// ReloadWhenBehind makes the Replicator read all keys again after a failure, or when another
+	// daemon has seen changes that the watch does not report, instead of the changes since. It is
+	// meant for a few large values of which only the newest matter.
+	ReloadWhenBehind bool
+	Recorder         *recorder.Recorder
 }
 
 // Replicator replicates one prefix.
@@ -141,6 +145,9 @@
 			r.loaded = false
 			continue
 		}
+		if r.config.ReloadWhenBehind {
+			r.loaded = false
+		}
 		if err == nil {
 			continue
 		}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -220,3 +220,54 @@
 		require.LessOrEqual(t, h.batches, 5)
 	})
 }
+
+// largeStore takes 800 ms to send each value, in changes and in entries.
+type largeStore struct{ persister.Store }
+
+const valueTime = 800 * time.Millisecond
+
+func (s *largeStore) Watch(ctx context.Context, prefix string, after contractor.Revision, handle func(persister.Batch) error) error {
+	return s.Store.Watch(ctx, prefix, after, func(b persister.Batch) error {
+		if err := sleeper.Sleep(ctx, time.Duration(len(b.Changes))*valueTime); err != nil {
+			return err
+		}
+		return handle(b)
+	})
+}
+
+func (s *largeStore) Range(ctx context.Context, prefix, after string, limit int) (persister.Page, error) {
+	page, err := s.Store.Range(ctx, prefix, after, limit)
+	if err != nil {
+		return page, err
+	}
+	return page, sleeper.Sleep(ctx, time.Duration(len(page.Entries))*valueTime)
+}
+
+// After an outage the changes of a large value take long to arrive, and notifications of daemons that
+// have them already restart the watch again and again. Only the newest value matters.
+func TestNewestValueIsReadAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		store.PutAsOperator("op/config", []byte("1"))
+		m := &mirror{}
+		r := New(Config{Store: &largeStore{Store: store}, Prefix: "op/", Handler: m, ReloadWhenBehind: true})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.Run(ctx)
+		time.Sleep(3 * time.Second)
+		store.SetFaults(emulator.StoreFaults{Outage: true})
+		for i := 2; i <= 7; i++ {
+			time.Sleep(time.Second)
+			store.PutAsOperator("op/config", []byte(strconv.Itoa(i)))
+		}
+		store.SetFaults(emulator.StoreFaults{})
+		for range 25 {
+			r.NotifyRevision(store.Revision())
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(t, "7", m.get("op/config"))
+		store.PutAsOperator("op/config", []byte("8"))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "8", m.get("op/config"), "changes are watched again")
+	})
+}
