throttler: limits outlive entries that are missing for a moment

A fault of the fix of the request limits, found by reading: while the store is away entries expire although their upstreams live. The limit was deleted with the entry, so that when the entry came back each daemon sent without a limit until its next response, although it had passed on the limit before (LIMIT counts it). Ruled out: keeping limits for ever (memory; an ID is never used again after a restart). Change: limits are kept for a minute after their upstream was first missing; pauses until their end. The own interface deletes those of removed upstreams too, which it did not. Collect and the share have plainer names.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -105,7 +105,7 @@
 // Limits provides the request limits that upstreams have stated to this daemon, and learns
 // those that they have stated to others.
 type Limits interface {
-	Collect(now time.Time, max int) []throttler.Report
+	Collect(now time.Time, maxReports int) []throttler.Report
 	Merge(now time.Time, reports []throttler.Report)
 }
 
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -76,6 +76,7 @@
 	divider       *limiter.RateDivider
 	router        *router.Router
 	quarantiner   *quarantiner.Quarantiner
+	requestLimits *throttler.Throttler
 	registry      *quarantiner.Registry
 	deduplicator  *deduplicator.Deduplicator
 	dispatcher    *dispatcher.Dispatcher
@@ -300,8 +301,8 @@
 // openRequests creates the components that route, run and observe requests, and connects
 // them to the executor.
 func (d *Daemon) openRequests() error {
-	requestLimits := throttler.New(throttler.Config{Self: d.self.Address, Members: d.otherDaemons, Recorder: d.recorder})
-	d.router = router.New(router.Config{Zone: d.self.Zone, Seed: uint64(d.self.Incarnation), Limits: requestLimits, Recorder: d.recorder})
+	d.requestLimits = throttler.New(throttler.Config{Self: d.self.Address, Members: d.otherDaemons, Recorder: d.recorder})
+	d.router = router.New(router.Config{Zone: d.self.Zone, Seed: uint64(d.self.Incarnation), Limits: d.requestLimits, Recorder: d.recorder})
 	d.openLimits()
 	broadcaster := &quarantiner.Broadcaster{Members: d.tracker, Caller: d.caller, Recorder: d.recorder}
 	d.quarantiner = quarantiner.New(quarantiner.Config{
@@ -316,7 +317,7 @@
 		PermitTimeout: d.settings.Budgets.LongestRequest,
 		Recorder:      d.recorder,
 	}
-	d.dispatcher = dispatcher.New(dispatcher.Config{Limits: requestLimits, Recorder: d.recorder})
+	d.dispatcher = dispatcher.New(dispatcher.Config{Limits: d.requestLimits, Recorder: d.recorder})
 	d.observer = observer.New(observer.Config{
 		Source:    d.dispatcher,
 		Sink:      d.router,
--- a/assembler/lifetime.go
+++ b/assembler/lifetime.go
@@ -15,6 +15,7 @@
 	"laburnumline/quarantiner"
 	"laburnumline/recorder"
 	"laburnumline/sleeper"
+	"laburnumline/throttler"
 	"laburnumline/tracker"
 )
 
@@ -60,7 +61,7 @@
 	d.runInBackground(d.excludeLeavingVMs)
 	d.runInBackground(func(ctx context.Context) error { return d.server.Serve(ctx, d.callersListener) })
 	d.runInBackground(func(context.Context) error { return d.operatorsServer.Serve(d.operatorsListener) })
-	d.watcher.OnUpstreams(func(list []contractor.Upstream) { d.router.SetUpstreams(time.Now(), list) })
+	d.watcher.OnUpstreams(d.applyUpstreams)
 	d.watcher.OnQuarantine(d.applyQuarantine)
 	d.awaitReady()
 	<-d.lifetime.ctx.Done()
@@ -109,6 +110,16 @@
 	d.recorder.Event(recorder.DaemonReady, "vm", d.self.VM)
 }
 
+// applyUpstreams replaces the announced upstreams.
+func (d *Daemon) applyUpstreams(list []contractor.Upstream) {
+	now, ids := time.Now(), make(map[throttler.ID]bool, len(list))
+	for _, u := range list {
+		ids[throttler.IDOf(u.Name, 0)] = true
+	}
+	d.router.SetUpstreams(now, list)
+	d.requestLimits.Retain(now, ids)
+}
+
 // applyQuarantine merges quarantine records from the store into the quarantiner.
 func (d *Daemon) applyQuarantine(entries []persister.Entry) {
 	records := make([]quarantiner.Record, 0, len(entries))
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -77,8 +77,9 @@
 // last one.
 func sharedParts(parts []Part) []Part { return parts[:max(len(parts)-1, 0)] }
 
-// candidates returns the upstreams that may be chosen: those whose request limits allow it. Ejected ones are included only if
-// there are no others, or if more than half of more than three upstreams are ejected.
+// candidates returns the upstreams that may be chosen. Those whose request limits or pauses forbid
+// it are left out. Ejected ones are included only if there are no others, or if more than half of
+// more than three upstreams are ejected.
 func (b *Balancer) candidates(now time.Time, q Query) []candidate {
 	var available, ejected []candidate
 	for i := range q.Candidates {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -407,7 +407,7 @@
 	d.cleanedGeneration = generation
 	d.replicateStreams()
 	d.balancer.RemoveUnlisted(d.registrar.Listed)
-	d.throttler.Retain(d.registrar.LimitIDs())
+	d.throttler.Retain(time.Now(), d.registrar.LimitIDs())
 	d.pool.CloseExcept(d.registrar.Addresses())
 }
 
--- a/throttler/notice.go
+++ b/throttler/notice.go
@@ -18,8 +18,8 @@
 	AgeMs    uint32  // milliseconds since the limit was stated or had ended
 }
 
-// Collect returns reports for the next notice, at most max.
-func (t *Throttler) Collect(now time.Time, max int) []Report {
+// Collect returns reports for the next notice, at most maxReports.
+func (t *Throttler) Collect(now time.Time, maxReports int) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var reports []Report
@@ -30,7 +30,7 @@
 			}
 			continue
 		}
-		if len(reports) == max {
+		if len(reports) == maxReports {
 			break
 		}
 		s.announcements--
--- a/throttler/share.go
+++ b/throttler/share.go
@@ -47,9 +47,9 @@
 	loadedAt time.Time
 }
 
-// allows reports whether the daemon may send a request to an upstream with a limit. The lock is
-// held.
-func (t *Throttler) allows(now time.Time, id ID, s *state) bool {
+// hasShare reports whether the share of this daemon allows a request to an upstream with a limit. The
+// lock is held.
+func (t *Throttler) hasShare(now time.Time, id ID, s *state) bool {
 	if !t.loadMembers(now) {
 		return false
 	}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -133,6 +133,8 @@
 	// ended it.
 	statedAt time.Time
 	share    share
+	// unlistedAt is when the upstream was first seen to be unlisted, or zero.
+	unlistedAt time.Time
 	// announcements is the number of notices that are still to carry the limit.
 	announcements int
 }
@@ -271,7 +273,7 @@
 		return false
 	}
 	s := t.limits[id]
-	return s == nil || !s.limit.Stated || t.allows(now, id, s)
+	return s == nil || !s.limit.Stated || t.hasShare(now, id, s)
 }
 
 // recheckInterval is the time without a statement of a limit after which a request should show
@@ -340,28 +342,34 @@
 	if s == nil || !s.limit.Stated {
 		return true
 	}
-	if !t.allows(now, id, s) {
+	if !t.hasShare(now, id, s) {
 		return false
 	}
 	s.share.take()
 	return true
 }
 
-// Retain deletes the limits and pauses of all upstreams except the listed ones.
-func (t *Throttler) Retain(listed map[ID]bool) {
+// unlistedRetention is how long the limit of an upstream that is no longer listed is kept. Entries
+// of live upstreams may expire while the store is away.
+const unlistedRetention = time.Minute
+
+// Retain deletes the limits and pauses of upstreams that have not been listed for
+// unlistedRetention. It is called when the list changes.
+func (t *Throttler) Retain(now time.Time, listed map[ID]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.limits {
-		if listed[id] {
-			continue
+		switch {
+		case listed[id]:
+			s.unlistedAt = time.Time{}
+		case s.unlistedAt.IsZero():
+			s.unlistedAt = now
+		case now.Sub(s.unlistedAt) >= unlistedRetention:
+			t.set(s, Limit{}, s.statedAt)
+			delete(t.limits, id)
 		}
-		t.set(s, Limit{}, s.statedAt)
-		delete(t.limits, id)
 	}
 	for id := range t.pauses {
-		if !listed[id] {
-			t.restricted.Add(-1)
-			delete(t.pauses, id)
-		}
+		t.isPaused(now, id) // deletes a pause that has ended
 	}
 }
