registrar: an upstream that leaves is remembered while its entry is missing

Change: the mark is kept for an hour; a restart has another ID. Before: TestUpstreamThatStatesItsLeavingGetsNoRequests with the entry that comes back: one more request, whose response marks the upstream again; after: none.

--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -62,6 +62,10 @@
 	list.Reset(entries) // its entry does not say so
 	send(100)
 	require.Equal(t, before+1, u.sentTo[leaving])
+	list.Reset(entries[1:]) // the entry expires while the store is away, and comes back
+	list.Reset(entries)
+	send(100)
+	require.Equal(t, before+1, u.sentTo[leaving])
 
 	u.leaving[leaving], startedAtMs = false, 2
 	list.Reset(entries)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -12,6 +12,7 @@
 package registrar
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -54,6 +55,9 @@
 	// recoveryTime is how long the store may lack entries of live upstreams after it
 	// has recovered, which the users give as about two seconds.
 	recoveryTime = 1800 * time.Millisecond
+	// leavingRetention is how long it is remembered that an upstream leaves. Its entry may disappear
+	// and come back in that time, when the store was away.
+	leavingRetention = time.Hour
 	// failureWindow is how long after a failed call a deleted entry may still belong
 	// to a live upstream: three heartbeats, after which the store deletes an entry.
 	failureWindow = 3600 * time.Millisecond
@@ -79,8 +83,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry // by key
-	// leaving has the upstreams that have stated that they leave, in this start.
-	leaving map[throttler.ID]bool
+	// leaving has the upstreams that have stated that they leave, in this start, and when.
+	leaving map[throttler.ID]time.Time
 
 	available  atomic.Pointer[map[resolver.ServiceName][]Upstream]
 	generation atomic.Int64
@@ -106,7 +110,7 @@
 	if c.ListAge == nil {
 		c.ListAge = func() time.Duration { return 0 }
 	}
-	r := &Registrar{config: c, entries: make(map[string]*entry), leaving: make(map[throttler.ID]bool), createdAt: c.Now()}
+	r := &Registrar{config: c, entries: make(map[string]*entry), leaving: make(map[throttler.ID]time.Time), createdAt: c.Now()}
 	r.software.Store(&softwareView{})
 	r.publish()
 	return r
@@ -165,8 +169,10 @@
 func (r *Registrar) MarkLeaving(u *Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if id := u.LimitID(); !r.leaving[id] {
-		r.leaving[id] = true
+	now := r.config.Now()
+	maps.DeleteFunc(r.leaving, func(_ throttler.ID, since time.Time) bool { return now.Sub(since) > leavingRetention })
+	if id := u.LimitID(); r.leaving[id].IsZero() {
+		r.leaving[id] = now
 		r.config.Recorder.Event(recorder.UpstreamLeaving, "upstream", u.Name, "service", u.Service)
 		r.publish()
 	}
@@ -234,9 +240,6 @@
 		r.config.Recorder.Event(recorder.UpstreamListed, "upstream", upstream.Name, "service", upstream.Service,
 			"address", upstream.Address, "software", upstream.Software, "draining", upstream.Draining, "revision", e.Revision)
 	}
-	if old != nil && old.valid && old.upstream.StartedAtMs != upstream.StartedAtMs {
-		delete(r.leaving, old.upstream.LimitID())
-	}
 	r.entries[e.Key] = &entry{upstream: upstream, valid: true}
 }
 
@@ -258,7 +261,6 @@
 func (r *Registrar) drop(key string, e *entry) {
 	delete(r.entries, key)
 	if e.valid {
-		delete(r.leaving, e.upstream.LimitID())
 		r.config.Recorder.Event(recorder.UpstreamGone, "upstream", e.upstream.Name, "service", e.upstream.Service)
 	}
 }
@@ -267,7 +269,7 @@
 func (r *Registrar) publish() {
 	available := make(map[resolver.ServiceName][]Upstream)
 	for _, e := range r.entries {
-		if e.valid && !e.upstream.Draining && !r.leaving[e.upstream.LimitID()] {
+		if e.valid && !e.upstream.Draining && r.leaving[e.upstream.LimitID()].IsZero() {
 			available[e.upstream.Service] = append(available[e.upstream.Service], e.upstream)
 		}
 	}
