docs, comments: the usual terms for limits, pauses and resumed streams

Wording only: comments, one log detail, names in tests (TestRejectingUpstreamIsPaused, 'caller resumes', continued). No logic and no check has changed.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -63,8 +63,8 @@
 	Running, Waiting, Slots int
 	// Leaving is true if the upstream states that it leaves.
 	Leaving bool
-	// RetryAfter is the time for which the upstream wants no further request after it has turned
-	// this one away. Zero means that it states none.
+	// RetryAfter is the time for which the daemon sends the upstream no further request after it has
+	// rejected this one. Zero means that it states none.
 	RetryAfter time.Duration
 	// RequestLimit is the request limit that the upstream states.
 	RequestLimit throttler.Limit
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,7 +11,7 @@
 // another request or attempt is dropped and counted. Chunks also carry the
 // offset of their first output token. With it, duplicates are dropped, missing
 // tokens end the attempt, and a broken stream can be resumed at another engine
-// with X-Resume-Offset. An upstream in need states the requests per second that it accepts
+// with X-Resume-Offset. An overloaded upstream states the requests per second that it accepts
 // from all daemons in X-Request-Limit (package throttler).
 //
 //	stream, err := d.CallEngine(ctx, dispatcher.EngineCall{Upstream: u, Key: key, Attempt: 1, Body: body, MaxOutput: 256})
--- a/dispatcher/engine.go
+++ b/dispatcher/engine.go
@@ -18,7 +18,7 @@
 const (
 	HeaderRequestID    = "X-Request-Id"
 	HeaderResumeOffset = "X-Resume-Offset"
-	// HeaderRequestLimit is the number of requests per second that an upstream in need accepts
+	// HeaderRequestLimit is the number of requests per second that an overloaded upstream accepts
 	// from all daemons together.
 	HeaderRequestLimit = "X-Request-Limit"
 )
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -14,7 +14,7 @@
 	"laburnumline/throttler"
 )
 
-// An upstream in need states its request limit in any response, also in one that fails the call.
+// An overloaded upstream states its request limit in any response, also in one that fails the call.
 // A response to another call says nothing about it.
 func TestRequestLimitOfResponsesIsRecorded(t *testing.T) {
 	limits := throttler.New(throttler.Config{})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -90,8 +90,8 @@
 	Of(service resolver.ServiceName) []registrar.Upstream
 	// MarkLeaving records that an upstream has stated that it leaves.
 	MarkLeaving(u *registrar.Upstream)
-	// SoftwareVersions returns the versions that may have begun streams which callers still take
-	// up. It reports false while there may be others.
+	// SoftwareVersions returns the versions that may have begun streams which callers still
+	// resume. It reports false while there may be others.
 	SoftwareVersions(service resolver.ServiceName) (versions []string, complete bool)
 }
 
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -349,7 +349,7 @@
 	return func(time.Duration) float64 { return rate }
 }
 
-// Upstreams in need state a request limit for the whole fleet. Every daemon that knows it has to
+// Overloaded upstreams state a request limit for the whole fleet. Every daemon that knows it has to
 // keep it together with the others, whatever it sends: new requests, retries or resumed streams.
 func TestFleetKeepsRequestLimits(t *testing.T) {
 	const small, large = 100 * time.Millisecond, 3 * time.Second
--- a/forwarder/pause_test.go
+++ b/forwarder/pause_test.go
@@ -20,7 +20,7 @@
 	"laburnumline/throttler"
 )
 
-// rejectingUpstreams are upstreams of which some turn every request away, with a Retry-After.
+// rejectingUpstreams are upstreams of which some reject every request, with a Retry-After.
 type rejectingUpstreams struct {
 	*fakeUpstreams
 	rejecting  int // the first ones of the list
@@ -48,9 +48,9 @@
 	return response, nil
 }
 
-// An upstream that turns a request away with a Retry-After wants nothing from this daemon until
-// then, whatever happens to the others.
-func TestRejectingUpstreamIsLeftAlone(t *testing.T) {
+// An upstream that rejects a request with a Retry-After must get no request from this daemon until
+// then, also if all others are ejected.
+func TestRejectingUpstreamIsPaused(t *testing.T) {
 	tests := []struct {
 		name      string
 		path      string
--- a/forwarder/software.go
+++ b/forwarder/software.go
@@ -14,7 +14,7 @@
 // list of upstreams is current again soon after the store is reachable.
 const softwareRetryAfter = time.Second
 
-// findSoftware finds the software version that began a stream which the caller takes up. The
+// findSoftware finds the software version that began a stream which the caller resumes. The
 // request is refused if the version may be another than that of the upstreams.
 func (x *exchange) findSoftware(ctx context.Context) *refuser.Refusal {
 	r := x.request
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -37,7 +37,7 @@
 	stableTime = 3 * time.Second
 	// listInterval is the time between two updates of the list of upstreams.
 	listInterval = 200 * time.Millisecond
-	// callerTries is how often a caller sends a request, or takes its stream up.
+	// callerTries is how often a caller sends a request, or resumes its stream.
 	callerTries = 4
 )
 
@@ -51,7 +51,7 @@
 	// upstreamCrashes end at one moment in each crashInterval, daemonCrashes in each restartInterval.
 	upstreamCrashes, daemonCrashes int
 	crashInterval, restartInterval time.Duration
-	// callersOnly is true if daemons make one attempt only, so that callers take up all streams.
+	// callersOnly is true if daemons make one attempt only, so that callers resume all streams.
 	callersOnly bool
 	// lost is the fraction of the messages between daemons that is lost, messageDelay the delay
 	// of the others.
@@ -76,11 +76,11 @@
 	crashed   map[netip.AddrPort]chan struct{} // closed when the upstream crashes
 	downUntil map[netip.AddrPort]time.Time
 
-	begun, notBegun       int // first attempts of callers
-	joined                int // streams with events of several versions
-	torn                  int // streams with a missing or repeated event
-	complete              int
-	takenUp, takenFurther int // attempts to take up a stream whose version has two upstreams
+	begun, notBegun    int // first attempts of callers
+	joined             int // streams with events of several versions
+	torn               int // streams with a missing or repeated event
+	complete           int
+	resumes, continued int // attempts to resume a stream whose version has two upstreams
 }
 
 // versionDaemon is one start of a daemon.
@@ -310,9 +310,9 @@
 		f.notBegun++
 	}
 	if counts && d.ended.Err() == nil && (d.startedAt.Equal(f.start) || time.Since(d.startedAt) >= stableTime) {
-		f.takenUp++
+		f.resumes++
 		if len(s.events) > before {
-			f.takenFurther++
+			f.continued++
 		}
 	}
 	return w.Code
@@ -436,7 +436,7 @@
 
 // A stream holds tokens of one version of the upstream's software. Where several versions serve
 // side by side, neither the daemon that holds a broken stream nor another one, at which the caller
-// takes it up, may continue it at another version.
+// resumes it, may continue it at another version.
 func TestStreamContinuesAtItsSoftwareVersion(t *testing.T) {
 	twoVersions := func(i int, _ time.Duration) string { return []string{"v1", "v2"}[i%2] }
 	threeVersions := func(i int, _ time.Duration) string { return []string{"v1", "v1.1", "v1.2"}[i%3] }
@@ -458,7 +458,7 @@
 	const small, large = 5 * time.Millisecond, 20 * time.Millisecond
 	tests := []versionScenario{
 		{name: "daemon resumes", daemons: 1, upstreams: 18, softwareOf: twoVersions, rate: 40, upstreamCrashes: 4, crashInterval: 2 * time.Second},
-		{name: "caller takes up", daemons: 7, upstreams: 18, softwareOf: twoVersions, rate: 40, upstreamCrashes: 4, crashInterval: 2 * time.Second, callersOnly: true, messageDelay: small},
+		{name: "caller resumes", daemons: 7, upstreams: 18, softwareOf: twoVersions, rate: 40, upstreamCrashes: 4, crashInterval: 2 * time.Second, callersOnly: true, messageDelay: small},
 		{name: "three versions, both", daemons: 7, upstreams: 18, softwareOf: threeVersions, rate: 40, upstreamCrashes: 4, crashInterval: 2 * time.Second, messageDelay: small},
 		{name: "daemons crash", daemons: 7, upstreams: 18, softwareOf: threeVersions, rate: 40, daemonCrashes: 2, restartInterval: 2 * time.Second, messageDelay: small},
 		{name: "most daemons crash", daemons: 7, upstreams: 18, softwareOf: threeVersions, rate: 40, daemonCrashes: 4, restartInterval: 4 * time.Second, messageDelay: small},
@@ -483,15 +483,15 @@
 				synctest.Test(t, func(t *testing.T) {
 					f := newVersionFleet(t, tt, seed)
 					f.play()
-					t.Logf("seed %d: %d joined, %d torn, %d complete, begun %d of %d, went on %d of %d", seed, f.joined, f.torn, f.complete, f.begun, f.begun+f.notBegun, f.takenFurther, f.takenUp)
+					t.Logf("seed %d: %d joined, %d torn, %d complete, begun %d of %d, continued %d of %d", seed, f.joined, f.torn, f.complete, f.begun, f.begun+f.notBegun, f.continued, f.resumes)
 					require.Zero(t, f.joined)
 					require.Zero(t, f.torn)
 					if tt.allComplete {
 						require.Equal(t, tt.rate*int(tt.duration/time.Second), f.complete, "nothing is refused")
 					}
-					if f.takenUp >= 12 {
-						goneOn, began := float64(f.takenFurther)/float64(f.takenUp), float64(f.begun)/float64(f.begun+f.notBegun)
-						require.GreaterOrEqual(t, goneOn, began/2)
+					if f.resumes >= 12 {
+						continuedShare, begunShare := float64(f.continued)/float64(f.resumes), float64(f.begun)/float64(f.begun+f.notBegun)
+						require.GreaterOrEqual(t, continuedShare, begunShare/2)
 					}
 				})
 			}
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -2,7 +2,7 @@
 //
 // Upstreams of several software versions may serve one service side by side, and the events
 // of two versions do not fit together. A stream that broke off may therefore continue at
-// upstreams of the version that began it only. A caller may take its stream up again at
+// upstreams of the version that began it only. A caller may resume its stream at
 // another daemon than the one that began it, and that one may have died with the stream.
 //
 // Each daemon records the versions of the streams that it begins. While a service has several
@@ -44,7 +44,7 @@
 const (
 	// replicas is the number of daemons that get a copy of each record.
 	replicas = 3
-	// Retention is the minimum time for which a record is kept. Callers take a stream up within
+	// Retention is the minimum time for which a record is kept. Callers resume a stream within
 	// their deadline, which is shorter.
 	Retention = time.Minute
 	// maxRecords limits the records of one generation, about 64 bytes each. Two generations are
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -116,7 +116,7 @@
 	})
 }
 
-// Records must not fill the memory, and must be kept for as long as callers take streams up.
+// Records must not fill the memory, and must be kept for as long as callers resume streams.
 func TestRecordsExpire(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := New(Config{Now: func() time.Time { return now }, Peers: func() []netip.AddrPort { return nil }})
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -27,7 +27,7 @@
 	// UpstreamLimited is logged when an upstream states another request limit than before, or none
 	// any more.
 	UpstreamLimited Code = 2003
-	// UpstreamPaused is logged when an upstream wants no requests from this daemon for some time.
+	// UpstreamPaused is logged when an upstream asks for a pause after it has rejected a request.
 	UpstreamPaused Code = 2004
 	// OrderFailed is logged when an engine fails to execute an order, such as to load a model.
 	OrderFailed Code = 2201
--- a/registrar/software.go
+++ b/registrar/software.go
@@ -9,7 +9,7 @@
 )
 
 // SoftwareRetention is how long after its last upstream a software version may still have streams
-// that callers take up. It exceeds their deadlines, and clocks that jump by some seconds.
+// that callers resume. It exceeds their deadlines, and clocks that jump by some seconds.
 const SoftwareRetention = time.Minute
 
 // maxListAge is the age up to which a list counts as current. Watches of the store are answered
@@ -52,7 +52,7 @@
 }
 
 // SoftwareVersions returns the software versions of a service that may have begun streams which
-// callers still take up, sorted. It reports false while there may be others: the list is older than
+// callers still resume, sorted. It reports false while there may be others: the list is older than
 // maxListAge, or the daemon has started less than SoftwareRetention ago and MergeSoftware was not
 // called.
 func (r *Registrar) SoftwareVersions(service resolver.ServiceName) (versions []string, complete bool) {
--- a/registrar/software_test.go
+++ b/registrar/software_test.go
@@ -24,7 +24,7 @@
 	return persister.Change{Entry: persister.Entry{Key: key, Value: []byte(software)}, Deleted: software == ""}
 }
 
-// A version whose upstreams are gone still has streams that callers take up. While it counts, its
+// A version whose upstreams are gone still has streams that callers resume. While it counts, its
 // service must not be taken for one with a single version.
 func TestVersionCountsAfterItsLastUpstream(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -68,7 +68,7 @@
 }
 
 // The whole fleet dies right after a version has disappeared. The daemons that start know from the
-// store that streams of it may be taken up. Daemons that see the same change write it once.
+// store that streams of it may be resumed. Daemons that see the same change write it once.
 func TestHistoryOutlivesTheFleet(t *testing.T) {
 	store := emulator.NewStore(emulator.StoreConfig{})
 	now := time.Unix(1000, 0)
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -22,7 +22,7 @@
 	return r
 }
 
-// An upstream in need must not get more requests than its limit allows, however idle it looks and
+// An overloaded upstream must not get more requests than its limit allows, however idle it looks and
 // also if all others are ejected.
 func TestRouterKeepsRequestLimits(t *testing.T) {
 	r := newLimitedRouter(3, 1, 2)
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -46,7 +46,7 @@
 // maxAttempts limits the attempts for one stream.
 const maxAttempts = 3
 
-// sendUntilComplete sends a request to a random daemon, and takes its stream up at others if it breaks
+// sendUntilComplete sends a request to a random daemon, and resumes its stream at others if it breaks
 // off. The history has the requests that were not served.
 func (s *soak) sendUntilComplete(ctx context.Context, req request, random *rand.Rand) {
 	for range maxAttempts {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -13,7 +13,7 @@
 //   - a non-idempotent request is executed at most once, and a refused request never;
 //   - a response that ends without an error is the complete response to this request;
 //   - after the faults have ended, every daemon serves requests under the newest configuration;
-//   - a stream holds events of one version of the upstreams' software, also if its caller takes it up
+//   - a stream holds events of one version of the upstreams' software, also if its caller resumes it
 //     at another daemon;
 //   - an upstream that states a request limit gets no more from all daemons together;
 //   - requests with a prompt part that crashes engines are soon refused by every daemon, and the
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -77,9 +77,9 @@
 		violated             bool
 	}{
 		{"one version", "", second, false},
-		{"taken up", half, strings.TrimPrefix(first, half), false},
+		{"resumed by the caller", half, strings.TrimPrefix(first, half), false},
 		{"resumed at another version", "", half + second[len(half):], true},
-		{"taken up at another version", half, second[len(half):], true},
+		{"resumed by the caller at another version", half, second[len(half):], true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -1,9 +1,9 @@
 // Package throttler keeps the request limits that upstreams state.
 //
-// An upstream that turns a request away may state a time for which it wants no further ones
-// from this daemon, a pause.
+// An upstream that rejects a request may ask for a pause, a time in which this daemon sends it no further
+// requests.
 //
-// An upstream in need states in its responses how many requests per second it accepts from
+// An overloaded upstream states in its responses how many requests per second it accepts from
 // all daemons together. The limit applies from then on until a response without one.
 // Responses can overtake each other: one without a limit, or with a higher one, counts only
 // if its request was sent after the limit was last stated.
@@ -62,7 +62,7 @@
 }
 
 // ParseRate returns a number of requests per second. A text that is not one stands for zero: the
-// upstream is in need.
+// upstream is overloaded.
 func ParseRate(text string) float64 {
 	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
 	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
@@ -92,7 +92,7 @@
 	// Retry is true if it was not the first attempt of the request.
 	Retry bool
 	Limit Limit
-	// Pause is how long the upstream wants no request from this daemon. Zero means that it states
+	// Pause is how long the daemon sends the upstream no request. Zero means that it states
 	// none.
 	Pause time.Duration
 }
@@ -181,7 +181,7 @@
 	}
 }
 
-// isPaused reports whether an upstream wants no request now. It deletes a pause that has ended. The
+// isPaused reports whether an upstream is paused. It deletes a pause that has ended. The
 // lock is held.
 func (t *Throttler) isPaused(now time.Time, id ID) bool {
 	end, paused := t.pauses[id]
