pinner: a stream that nobody knows is asked of its replicas only while one version is possible

In a fleet of 295 daemons that starts anew each resumed stream would have cost 294 questions and as many answers, and up to 60 ms more. Ruled out: not asking at all then; the daemon that began the stream may know a second version earlier, and its replicas do. Change: the second round of questions is left out while the service has one version and the list is current. Before: no such choice; after: TestUnknownStreamIsAskedOfReplicasOnly sends at most 6 datagrams, TestVersionOutlivesItsDaemon and TestStreamContinuesAtItsSoftwareVersion pass as before.

--- a/forwarder/software.go
+++ b/forwarder/software.go
@@ -21,13 +21,14 @@
 	if x.route.Repeatability != resolver.Stream || r.ResumeAfter == "" {
 		return nil
 	}
+	versions, complete := x.forwarder.config.Upstreams.SoftwareVersions(x.service.Name)
+	several := !complete || len(versions) > 1
 	if r.Resumes != "" {
-		if x.software, x.softwareKnown = x.forwarder.config.Streams.Lookup(ctx, pinner.StreamOf(r.Resumes)); x.softwareKnown {
+		if x.software, x.softwareKnown = x.forwarder.config.Streams.Lookup(ctx, pinner.StreamOf(r.Resumes), several); x.softwareKnown {
 			return nil
 		}
 	}
-	versions, complete := x.forwarder.config.Upstreams.SoftwareVersions(x.service.Name)
-	if !complete || len(versions) > 1 {
+	if several {
 		return refuser.New(refuser.SoftwareUnknown, "resume").WithRetryAfter(softwareRetryAfter).
 			WithDetail("the upstream version that began stream %q is not known, versions %q may have, list complete: %t", r.Resumes, versions, complete)
 	}
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -8,12 +8,12 @@
 // Each daemon records the versions of the streams that it begins. While a service has several
 // versions, it also sends each record to a few other daemons, the replicas, which rendezvous
 // hashing of the stream determines. A daemon that does not know a stream asks its replicas,
-// then all other daemons. Records and questions are single datagrams: a lost record leaves
+// then, if several versions are possible, all other daemons. Records and questions are single datagrams: a lost record leaves
 // other copies, and a stream that nobody knows must not continue.
 //
 //	p := pinner.New(pinner.Config{Self: address, Peers: peers, Send: send})
 //	p.Pin(pinner.StreamOf(attemptID), "v1.2", true)
-//	software, ok := p.Lookup(ctx, pinner.StreamOf(attemptID)) // at another daemon
+//	software, ok := p.Lookup(ctx, pinner.StreamOf(attemptID), true) // at another daemon
 package pinner
 
 import (
@@ -159,8 +159,9 @@
 	return r.software, ok
 }
 
-// Lookup returns the version of a stream, or false if no daemon that answers knows it.
-func (p *Pinner) Lookup(ctx context.Context, s Stream) (software string, ok bool) {
+// Lookup returns the version of a stream, or false if no daemon that answers knows it. In a large
+// fleet it asks the replicas, and the other daemons only if all is true.
+func (p *Pinner) Lookup(ctx context.Context, s Stream, all bool) (software string, ok bool) {
 	if software, ok := p.known(s); ok {
 		return software, true
 	}
@@ -169,8 +170,9 @@
 	if len(peers) <= maxFirstPeers {
 		first = peers
 	}
-	if software, ok := p.ask(ctx, s, first); ok {
-		return software, true
+	software, ok = p.ask(ctx, s, first)
+	if ok || !all {
+		return software, ok
 	}
 	rest := slices.DeleteFunc(slices.Clone(peers), func(a netip.AddrPort) bool { return slices.Contains(first, a) })
 	return p.ask(ctx, s, rest)
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -77,11 +77,11 @@
 				require.LessOrEqual(t, n.sent, replicas)
 				n.crash(fleet[0])
 				for _, p := range fleet[1:min(len(fleet), 20)] {
-					software, ok := p.Lookup(t.Context(), StreamOf("a"))
+					software, ok := p.Lookup(t.Context(), StreamOf("a"), true)
 					require.True(t, ok)
 					require.Equal(t, "v1.2", software)
 					start := time.Now()
-					_, ok = p.Lookup(t.Context(), StreamOf("b"))
+					_, ok = p.Lookup(t.Context(), StreamOf("b"), true)
 					require.False(t, ok)
 					require.LessOrEqual(t, time.Since(start), 2*answerTimeout)
 				}
@@ -91,6 +91,18 @@
 	}
 }
 
+// In a large fleet that starts anew, callers resume many streams that nobody knows. While one version is
+// possible, each question must not go to the whole fleet.
+func TestUnknownStreamIsAskedOfReplicasOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, fleet := newNetwork(295)
+		_, ok := fleet[0].Lookup(t.Context(), StreamOf("a"), false)
+		require.False(t, ok)
+		require.LessOrEqual(t, n.sent, 2*replicas)
+		synctest.Wait()
+	})
+}
+
 // While a service has one version, records stay at the daemon. When it gets a second one, the recent
 // ones are copied.
 func TestRecentRecordsAreReplicatedOnDemand(t *testing.T) {
@@ -107,10 +119,10 @@
 		require.LessOrEqual(t, n.longest, MaxMessageBytes)
 		n.crash(fleet[0])
 		for i := range 500 {
-			_, ok := fleet[1].Lookup(t.Context(), StreamOf(fmt.Sprint(i)))
+			_, ok := fleet[1].Lookup(t.Context(), StreamOf(fmt.Sprint(i)), true)
 			require.True(t, ok)
 		}
-		_, ok := fleet[1].Lookup(t.Context(), StreamOf("old"))
+		_, ok := fleet[1].Lookup(t.Context(), StreamOf("old"), true)
 		require.False(t, ok)
 		synctest.Wait()
 	})
@@ -128,11 +140,11 @@
 	p.Pin(StreamOf("a"), "v1", false)
 	now = now.Add(Retention)
 	p.Pin(StreamOf("b"), "v1", false)
-	_, ok := p.Lookup(context.Background(), StreamOf("a"))
+	_, ok := p.Lookup(context.Background(), StreamOf("a"), true)
 	require.True(t, ok)
 	now = now.Add(Retention)
 	p.Pin(StreamOf("c"), "v1", false)
-	_, ok = p.Lookup(context.Background(), StreamOf("a"))
+	_, ok = p.Lookup(context.Background(), StreamOf("a"), true)
 	require.False(t, ok)
 }
 
