platform, recorder: daemons log that the store was restored

The logs could not tell a loss in the store from a gap in the takeover of a row. store_restored (4104) is logged when a response states a later Store-Era than before. The emulated store can be restored from a copy: it then begins a new era, gives its revisions and leases out again and refuses watches from revisions that it does not have; its HTTP API states the era in all responses. persister.NewRevision puts an era in front of a revision; nothing uses it yet but the emulated store. No change of logic.

--- a/cmd/laburnumline/launch.go
+++ b/cmd/laburnumline/launch.go
@@ -69,11 +69,12 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(softMemoryFraction * float64(settings.MemoryLimit)))
 	}
+	rec := recorder.New()
 	store := platform.NewStore(platform.StoreConfig{
 		Address: settings.StoreAddress.String(), Dial: connector.Dialer(storeConnectTimeout, storeSilenceTimeout),
 		CallTimeout: storeCallTimeout, PollTimeout: randomPollTimeout,
+		Restored: func(from, to int64) { rec.Event(recorder.StoreRestored, "from", from, "era", to) },
 	})
-	rec := recorder.New()
 	config := launcher.Config{Settings: settings, Adapter: platform.Adapter(store), Recorder: rec}
 	if cmd.Metrics > 0 {
 		config.MetricsAddress = netip.AddrPortFrom(settings.FrontendAddress.Addr(), cmd.Metrics)
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -31,6 +31,7 @@
 // closed without a response.
 func (s *Store) PlatformHandler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(s.stateEra)
 	r.Get("/api/kv-key", s.platformGet)
 	r.Get("/api/kv-range", s.platformRange)
 	r.Get("/api/kv-watch", s.platformWatch)
@@ -57,10 +58,44 @@
 	}
 }
 
+// platformRevision returns the number that the platform gives for a revision. The era is in a header.
+func platformRevision(r contractor.Revision) contractor.Revision {
+	return contractor.Revision(persister.NumberOf(r))
+}
+
+// stateEra sets the header with the era of the store in all responses.
+func (s *Store) stateEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&eraWriter{ResponseWriter: w, store: s}, r)
+	})
+}
+
+// eraWriter sets the header when the response begins, which may be long after its request.
+type eraWriter struct {
+	http.ResponseWriter
+	store  *Store
+	stated bool
+}
+
+func (w *eraWriter) WriteHeader(status int) {
+	if !w.stated {
+		w.stated = true
+		w.Header().Set("Store-Era", strconv.FormatInt(w.store.Era(), 10))
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *eraWriter) Write(b []byte) (int, error) {
+	if !w.stated {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
 func platformItems(entries []persister.Entry) []platformItem {
 	items := make([]platformItem, 0, len(entries))
 	for _, e := range entries {
-		items = append(items, platformItem{Key: e.Key, Data: e.Value, Revision: e.Revision})
+		items = append(items, platformItem{Key: e.Key, Data: e.Value, Revision: platformRevision(e.Revision)})
 	}
 	return items
 }
@@ -86,7 +121,7 @@
 		return
 	}
 	writeJSON(w, map[string]any{
-		"entries": platformItems(page.Entries), "truncated": page.More, "at": page.Revision,
+		"entries": platformItems(page.Entries), "truncated": page.More, "at": platformRevision(page.Revision),
 	})
 }
 
@@ -98,11 +133,11 @@
 	wait, _ := strconv.Atoi(query.Get("waitMs"))             // zero requests a response without waiting
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	events, revision := []platformItem{}, contractor.Revision(after)
+	events, revision := []platformItem{}, persister.NewRevision(s.Era(), after)
 	err := s.Watch(ctx, query.Get("prefix"), revision, func(b persister.Batch) error {
 		for _, c := range b.Changes {
 			events = append(events, platformItem{
-				Key: c.Entry.Key, Data: c.Entry.Value, Revision: c.Entry.Revision, Deleted: c.Deleted,
+				Key: c.Entry.Key, Data: c.Entry.Value, Revision: platformRevision(c.Entry.Revision), Deleted: c.Deleted,
 			})
 		}
 		revision = b.Revision
@@ -112,7 +147,7 @@
 		writePlatformError(w, err)
 		return
 	}
-	writeJSON(w, map[string]any{"events": events, "at": revision})
+	writeJSON(w, map[string]any{"events": events, "at": platformRevision(revision)})
 }
 
 func (s *Store) platformCommit(w http.ResponseWriter, r *http.Request) {
@@ -131,7 +166,7 @@
 	}
 	txn := persister.Txn{Deletes: request.Remove}
 	for _, e := range request.Expected {
-		txn.Compares = append(txn.Compares, persister.Compare{Key: e.Key, Revision: e.Revision})
+		txn.Compares = append(txn.Compares, persister.Compare{Key: e.Key, Revision: persister.NewRevision(s.Era(), int64(e.Revision))})
 	}
 	for _, p := range request.Write {
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
@@ -149,7 +184,7 @@
 		writePlatformError(w, err)
 		return
 	}
-	writeJSON(w, map[string]any{"revision": revision})
+	writeJSON(w, map[string]any{"revision": platformRevision(revision)})
 }
 
 // platformConflict responds with the current entries of the compared keys that exist.
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -119,6 +119,8 @@
 	history         []event
 	leases          map[persister.LeaseID]*lease
 	lastLease       persister.LeaseID
+	// era counts the restores.
+	era int64
 	// changed is closed and replaced when keys or faults change.
 	changed chan struct{}
 	// disconnect is closed and replaced to close the connections of all watches.
@@ -197,7 +199,7 @@
 func (s *Store) Compact(revision contractor.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.compact(min(revision, s.revision))
+	s.compact(min(contractor.Revision(persister.NumberOf(revision)), s.revision))
 	s.notify()
 }
 
@@ -212,7 +214,13 @@
 func (s *Store) Revision() contractor.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.revision
+	return s.stamp(s.revision)
+}
+
+// stamp returns the revision of the current era for one of the store's own numbers. The caller
+// holds the lock.
+func (s *Store) stamp(number contractor.Revision) contractor.Revision {
+	return persister.NewRevision(s.era, int64(number))
 }
 
 // notify wakes all watches. The caller holds the lock.
@@ -227,7 +235,7 @@
 	}
 	s.compacted = revision
 	first := 0
-	for first < len(s.history) && s.history[first].change.Entry.Revision <= revision {
+	for first < len(s.history) && s.history[first].change.Entry.Revision <= s.stamp(revision) {
 		first++
 	}
 	s.history = append([]event(nil), s.history[first:]...)
--- a/emulator/store_keys.go
+++ b/emulator/store_keys.go
@@ -65,7 +65,7 @@
 func (s *Store) read(from string, inRange func(string) bool, limit int) persister.Page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := persister.Page{Revision: s.revision}
+	page := persister.Page{Revision: s.stamp(s.revision)}
 	for i, _ := slices.BinarySearch(s.keys, from); i < len(s.keys) && inRange(s.keys[i]); i++ {
 		if limit > 0 && len(page.Entries) == limit {
 			page.More = true
@@ -142,10 +142,12 @@
 func (s *Store) apply(txn persister.Txn) (contractor.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	earlierEra := false
 	for _, c := range txn.Compares {
-		if s.items[c.Key].modified != c.Revision {
+		if int64(s.items[c.Key].modified) != persister.NumberOf(c.Revision) {
 			return 0, s.conflict(txn)
 		}
+		earlierEra = earlierEra || c.Revision != 0 && persister.EraOf(c.Revision) != s.era
 	}
 	if txn.Marker != "" && s.items[txn.Marker].modified != 0 {
 		return 0, persister.ErrConflict
@@ -156,7 +158,12 @@
 		}
 	}
 	s.write(txn.Puts, txn.Deletes)
-	return s.revision, nil
+	if earlierEra {
+		// The service compares numbers only. A client learns from the response that the state
+		// which it compared is not that of this era.
+		return 0, fmt.Errorf("%w: %w", persister.ErrUnknown, persister.ErrRestored)
+	}
+	return s.stamp(s.revision), nil
 }
 
 // conflict returns the error of a transaction with a failed compare. The caller holds
@@ -186,7 +193,7 @@
 			continue
 		}
 		removed = true
-		deletion := persister.Change{Deleted: true, Entry: persister.Entry{Key: key, Revision: next}}
+		deletion := persister.Change{Deleted: true, Entry: persister.Entry{Key: key, Revision: s.stamp(next)}}
 		s.history = append(s.history, event{at: now, change: deletion})
 	}
 	if len(puts) == 0 && !removed {
@@ -194,7 +201,7 @@
 	}
 	s.revision = next
 	if len(s.history) > 2*s.keepRevisions {
-		s.compact(s.history[len(s.history)-s.keepRevisions].change.Entry.Revision)
+		s.compact(contractor.Revision(persister.NumberOf(s.history[len(s.history)-s.keepRevisions].change.Entry.Revision)))
 	}
 	s.notify()
 }
@@ -227,7 +234,7 @@
 
 func (s *Store) entry(key string) persister.Entry {
 	found := s.items[key]
-	return persister.Entry{Key: key, Value: bytes.Clone(found.value), Revision: found.modified}
+	return persister.Entry{Key: key, Value: bytes.Clone(found.value), Revision: s.stamp(found.modified)}
 }
 
 func countRead(c *StoreCounts)  { c.Reads++ }
--- a/emulator/store_lease.go
+++ b/emulator/store_lease.go
@@ -33,11 +33,9 @@
 	defer s.mu.Unlock()
 	s.lastLease++
 	id := s.lastLease
-	s.leases[id] = &lease{
-		ttl:   ttl,
-		keys:  make(map[string]bool),
-		timer: time.AfterFunc(ttl, func() { s.expire(id) }),
-	}
+	l := &lease{ttl: ttl, keys: make(map[string]bool)}
+	l.timer = time.AfterFunc(ttl, func() { s.expireLease(id, l) })
+	s.leases[id] = l
 	return id
 }
 
@@ -65,11 +63,11 @@
 	return l.ttl
 }
 
-func (s *Store) expire(id persister.LeaseID) {
+// expireLease ends a lease, unless the ID belongs to another one since a restore.
+func (s *Store) expireLease(id persister.LeaseID, l *lease) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.leases[id]
-	if l == nil {
+	if s.leases[id] != l {
 		return
 	}
 	if s.faults.PauseLeases {
--- a/emulator/store_watch.go
+++ b/emulator/store_watch.go
@@ -85,7 +85,10 @@
 	if s.faults.Outage || s.faults.Hang || s.faults.HoldEvents {
 		return persister.Batch{Revision: after}, 0, s.changed, nil
 	}
-	if after < s.compacted {
+	if after != 0 && persister.EraOf(after) != s.era {
+		return persister.Batch{}, 0, nil, persister.ErrRestored
+	}
+	if after < s.stamp(s.compacted) {
 		return persister.Batch{}, 0, nil, persister.ErrCompacted
 	}
 	batch := persister.Batch{Revision: after}
@@ -100,6 +103,6 @@
 			s.counts.Events++
 		}
 	}
-	batch.Revision = max(batch.Revision, s.revision)
+	batch.Revision = max(batch.Revision, s.stamp(s.revision))
 	return batch, 0, s.changed, nil
 }
--- a/persister/persister.go
+++ b/persister/persister.go
@@ -43,6 +43,9 @@
 	ErrThrottled = errors.New("store: call rate budget is used up")
 	// ErrCompacted means that a watch needs a revision that the service has compacted.
 	ErrCompacted = errors.New("store: revision is compacted")
+	// ErrRestored means that a watch needs a revision of an earlier era: the service was restored
+	// from an older copy since. It wraps ErrCompacted.
+	ErrRestored = fmt.Errorf("%w: the store was restored from an older copy", ErrCompacted)
 	// ErrInvalid means that a call is malformed and nothing was written.
 	ErrInvalid = errors.New("store: invalid call")
 )
--- a/recorder/catalogue_store.go
+++ b/recorder/catalogue_store.go
@@ -14,6 +14,8 @@
 	StoreRegained Code = 4102
 	// HistoryLost is logged when the store has discarded changes before they were received.
 	HistoryLost Code = 4103
+	// StoreRestored is logged when the store was restored from an older copy.
+	StoreRestored Code = 4104
 )
 
 var _ = declare(eventNames{
@@ -23,4 +25,5 @@
 	StoreLost:           "store_lost",
 	StoreRegained:       "store_regained",
 	HistoryLost:         "history_lost",
+	StoreRestored:       "store_restored",
 })
