--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -140,14 +140,20 @@
 
 func newTransferFleet(count int, prepaid contractor.Tokens, transfers *rand.Rand) *fleet {
 	f := &fleet{store: emulator.NewStore(emulator.StoreConfig{Seed: 1, ReportConflicts: true}), prepaid: prepaid, transfers: transfers, started: time.Now()}
-	for i := range count {
-		d := &daemon{name: fmt.Sprintf("edge-%d", i), link: &storeLink{Store: f.store, ownName: fmt.Sprintf("edge-%d", i)}}
-		f.daemons = append(f.daemons, d)
-		f.launch(d)
+	for range count {
+		f.add()
 	}
 	return f
 }
 
+// add adds a daemon to the fleet.
+func (f *fleet) add() {
+	name := fmt.Sprintf("edge-%d", len(f.daemons))
+	d := &daemon{name: name, link: &storeLink{Store: f.store, ownName: name}}
+	f.daemons = append(f.daemons, d)
+	f.launch(d)
+}
+
 // startRelay adds a relay for some of the commits. The returned function closes it.
 func (f *fleet) startRelay(random *rand.Rand) func() {
 	r := &relay{Combiner: combiner.New(combiner.Config{
