platform, replicator: revisions of before a restore of the store are not those after

Cause: a restored store gives its revisions out again, and nothing but the header Store-Era tells the two apart. A watch went on from a revision of before and missed what was written at that number since; a transaction that compared one could overwrite what its daemon had never read; the caches of the relay kept what was lost. Ruled out: leaving it to the 410 of the watch; the store gives it only until the number has been reached again. Watches from an earlier era end with ErrRestored, after which the replicator reads all keys and keeps missing entries for a moment, as after an outage. Transactions that compare an earlier era, or several, are refused, or unknown if their response is the first sign. The emulated store does the same.

--- a/emulator/store_keys.go
+++ b/emulator/store_keys.go
@@ -142,6 +142,9 @@
 func (s *Store) apply(txn persister.Txn) (contractor.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if txn.MixesEras() {
+		return 0, s.conflict(txn)
+	}
 	earlierEra := false
 	for _, c := range txn.Compares {
 		if int64(s.items[c.Key].modified) != persister.NumberOf(c.Revision) {
--- a/emulator/store_watch.go
+++ b/emulator/store_watch.go
@@ -88,7 +88,7 @@
 	if after != 0 && persister.EraOf(after) != s.era {
 		return persister.Batch{}, 0, nil, persister.ErrRestored
 	}
-	if after < s.stamp(s.compacted) {
+	if after < s.stamp(s.compacted) || after > s.stamp(s.revision) {
 		return persister.Batch{}, 0, nil, persister.ErrCompacted
 	}
 	batch := persister.Batch{Revision: after}
--- a/persister/persister.go
+++ b/persister/persister.go
@@ -43,9 +43,9 @@
 	ErrThrottled = errors.New("store: call rate budget is used up")
 	// ErrCompacted means that a watch needs a revision that the service has compacted.
 	ErrCompacted = errors.New("store: revision is compacted")
-	// ErrRestored means that a watch needs a revision of an earlier era: the service was restored
-	// from an older copy since. It wraps ErrCompacted.
-	ErrRestored = fmt.Errorf("%w: the store was restored from an older copy", ErrCompacted)
+	// ErrRestored means that a revision is of an earlier era: the service was restored from an
+	// older copy since.
+	ErrRestored = errors.New("store: restored from an older copy")
 	// ErrInvalid means that a call is malformed and nothing was written.
 	ErrInvalid = errors.New("store: invalid call")
 )
@@ -66,7 +66,8 @@
 const MaxValueSize = 1 << 20
 
 // Entry is one key with its value. Revision is the revision of its last
-// change; zero means that the key does not exist.
+// change; zero means that the key does not exist. Revisions grow also when the
+// service is restored from an older copy, see NewRevision.
 type Entry struct {
 	Key      string
 	Value    []byte
@@ -125,6 +126,22 @@
 	return nil
 }
 
+// MixesEras reports whether the transaction compares revisions of several eras. Some of its states
+// are then those of a store that was restored since.
+func (t *Txn) MixesEras() bool {
+	era := int64(-1)
+	for _, c := range t.Compares {
+		if c.Revision == 0 {
+			continue
+		}
+		if era >= 0 && EraOf(c.Revision) != era {
+			return true
+		}
+		era = EraOf(c.Revision)
+	}
+	return false
+}
+
 // Page is one page of the keys under a prefix, in key order.
 type Page struct {
 	Entries []Entry
@@ -153,11 +170,12 @@
 	Get(ctx context.Context, key string) (Entry, error)
 	// Range reads up to limit keys under prefix, starting after the key after.
 	Range(ctx context.Context, prefix, after string, limit int) (Page, error)
-	// Commit writes a transaction and returns its revision.
+	// Commit writes a transaction and returns its revision. If the service was restored since
+	// the compared revisions were read, nothing is written, or the error is ErrUnknown.
 	Commit(ctx context.Context, txn Txn) (contractor.Revision, error)
 	// Watch calls handle for each batch of changes under prefix later than the
 	// revision after. It returns when ctx ends, when handle fails or with
-	// ErrCompacted.
+	// ErrCompacted or ErrRestored.
 	Watch(ctx context.Context, prefix string, after contractor.Revision, handle func(Batch) error) error
 	// GrantLease creates a lease that expires after ttl unless it is renewed.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -118,6 +118,14 @@
 	return s.config.Direct.Range(ctx, prefix, after, limit)
 }
 
+// Era returns the era of the store that this daemon's own client has seen last, or zero.
+func (s *Store) Era() int64 {
+	if direct, ok := s.config.Direct.(interface{ Era() int64 }); ok {
+		return direct.Era()
+	}
+	return 0
+}
+
 // KeepAlive renews a lease directly at the store.
 func (s *Store) KeepAlive(ctx context.Context, id persister.LeaseID) (time.Duration, error) {
 	return s.config.Direct.KeepAlive(ctx, id)
--- a/relayer/wire.go
+++ b/relayer/wire.go
@@ -38,7 +38,7 @@
 // errorKinds are the errors that callers distinguish. Their order is part of the protocol.
 var errorKinds = [...]error{
 	persister.ErrConflict, persister.ErrUnavailable, persister.ErrUnknown,
-	persister.ErrThrottled, persister.ErrCompacted, persister.ErrInvalid, combiner.ErrRevisionTooOld,
+	persister.ErrThrottled, persister.ErrCompacted, persister.ErrInvalid, combiner.ErrRevisionTooOld, persister.ErrRestored,
 }
 
 func failureOf(err error) failure {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -2,7 +2,7 @@
 //
 // A Replicator reads all keys once and then watches for changes. After an error it
 // resumes at the revision it has reached; if the store has compacted the history
-// after that revision, it reads all keys again. It calls its Handler from one
+// after that revision, or was restored from an older copy, it reads all keys again. It calls its Handler from one
 // goroutine. While the store is unavailable the copy becomes stale; Age returns
 // the time since the last contact.
 //
@@ -140,8 +140,13 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, persister.ErrCompacted) {
-			r.config.Recorder.Event(recorder.HistoryLost, "prefix", r.config.Prefix, "revision", r.after)
+		restored := errors.Is(err, persister.ErrRestored)
+		if restored {
+			// The copy may lack entries of writers that are alive, as after an outage.
+			r.lastFailure.Store(int64(time.Since(r.created)))
+		}
+		if restored || errors.Is(err, persister.ErrCompacted) {
+			r.config.Recorder.Event(recorder.HistoryLost, "prefix", r.config.Prefix, "revision", r.after, "restored", restored)
 			r.loaded = false
 			continue
 		}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -271,3 +271,24 @@
 		require.Equal(t, "8", m.get("op/config"), "changes are watched again")
 	})
 }
+
+// A store that is restored from an older copy gives the revisions since out again. A watch that went
+// on from such a revision would keep what was lost and miss what was written instead.
+func TestReloadsWhenStoreIsRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		store.PutAsOperator("op/kept", []byte("1"))
+		r, m, stop := startReplicator(store)
+		defer stop()
+		time.Sleep(time.Second)
+		content := store.Copy()
+		store.PutAsOperator("op/lost", []byte("1"))
+		time.Sleep(time.Second)
+		require.Equal(t, "1", m.get("op/lost"))
+		store.Restore(content)
+		store.PutAsOperator("op/new", []byte("1"))
+		time.Sleep(time.Second)
+		require.Equal(t, map[string]string{"op/kept": "1", "op/new": "1"}, m.keys)
+		require.NotZero(t, r.LastFailure(), "the copy may lack entries whose writers are alive")
+	})
+}
