apportioner: what daemons hold survives a restore of the store

What callers saw: an account was served beyond its prepaid tokens. Cause: a grant is safe only because the store loses nothing that it has acknowledged. A store that is restored from an older copy has: the pool of the copy shows tokens as unallocated, or as held by a daemon that had returned them, which others already hold or have spent. Daemons took the copy for the truth. No restart is needed. Class: a lease on memory of a peer that forgets. Change: rows and pool name the era they were written in. In a new era each daemon writes what it holds over its row in the copy and changes the sums by the difference; until all known daemons have, and 5 s for unknown ones, what the copy shows as unallocated is withheld. A row of an earlier era that a new incarnation takes over counts as spent. The relay merges only within an era. Why it works: all daemons together never held more than was prepaid, so what the living hold may stay, and the rest is what the dead can have held at most. Failed on the way: the change of era through a relay was refused by the merge for ever (a daemon planned the same change again); what a dead daemon may hold was released by its successor at the next restore; a daemon that nobody knew yet confirmed too late; a row of the new era was committed together with a pool of the old one.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -31,6 +31,9 @@
 // not needed: the clock since boot limits the stage that the earlier incarnation can have
 // reached, because it had ended when the later one started.
 //
+// A store that is restored from an older copy has lost grants that it had acknowledged. The daemons
+// then write what they hold over the rows of the copy, see planConfirmation.
+//
 // An Apportioner manages the shares of one daemon. Run executes its rounds.
 //
 //	a := apportioner.New(apportioner.Config{Store: store, Name: "edge-1"})
@@ -114,6 +117,9 @@
 	// demandAveragingTime is the time constant of the demand average. It covers several
 	// requests of a small account.
 	demandAveragingTime = 8 * time.Second
+	// settleTime is how long after a restore of the store what may be held by daemons that nobody
+	// knows is withheld. Daemons in contact confirm their rows in their next round.
+	settleTime = 5 * time.Second
 	// memberTimeout is the time without a round after which a daemon is removed from the
 	// members and its demand no longer counts. It outlasts partitions, of about nine seconds.
 	memberTimeout = 20 * time.Second
@@ -257,6 +263,14 @@
 	roundNumber  int64
 	joined       bool
 	leaving      bool
+	// storeEra is the latest era of the store that was seen, since storeEraSince. era is the one in
+	// which this incarnation has written its row. earlierMembers are the daemons known from the
+	// eras before.
+	storeEra, era  int64
+	storeEraSince  time.Time
+	earlierMembers map[string]bool
+	// predecessorLost is true if this incarnation has taken over a row of an earlier era.
+	predecessorLost bool
 	// predecessor is the earlier incarnation whose row this one takes over, and
 	// predecessorStage the latest stage that it can have reached. len(stages) means that it
 	// may have spent its whole grant.
--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -27,6 +27,8 @@
 type storeLink struct {
 	persister.Store
 	partitioned atomic.Bool
+	// era is that of the store at the last response.
+	era atomic.Int64
 	// commits and conflicts count the store's responses, foreignRowWrites the commits that
 	// write the row of another daemon.
 	commits, conflicts, foreignRowWrites atomic.Int64
@@ -69,11 +71,23 @@
 	return fmt.Errorf("%w: %w", persister.ErrUnknown, ctx.Err())
 }
 
+// Era returns the era of the store as its client knows it.
+func (l *storeLink) Era() int64 { return l.era.Load() }
+
+// recordEra records the era after a call that got a response.
+func (l *storeLink) recordEra(err error) {
+	if s, ok := l.Store.(*emulator.Store); ok && (err == nil || errors.Is(err, persister.ErrConflict)) {
+		l.era.Store(s.Era())
+	}
+}
+
 func (l *storeLink) Get(ctx context.Context, key string) (persister.Entry, error) {
 	if err := l.waitIfPartitioned(ctx); err != nil {
 		return persister.Entry{}, err
 	}
-	return l.Store.Get(ctx, key)
+	entry, err := l.Store.Get(ctx, key)
+	l.recordEra(err)
+	return entry, err
 }
 
 func (l *storeLink) Commit(ctx context.Context, txn persister.Txn) (contractor.Revision, error) {
@@ -81,6 +95,7 @@
 		return 0, err
 	}
 	revision, err := l.Store.Commit(ctx, txn)
+	l.recordEra(err)
 	l.commits.Add(1)
 	if errors.Is(err, persister.ErrConflict) {
 		l.conflicts.Add(1)
--- a/apportioner/member.go
+++ b/apportioner/member.go
@@ -75,6 +75,9 @@
 	if err := a.reload(ctx); err != nil {
 		return err
 	}
+	if a.poolIsOutdated() {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := a.config.Store.Get(ctx, rowPrefix+name)
@@ -109,6 +112,13 @@
 	return a.reload(ctx)
 }
 
+// poolIsOutdated reports whether the pool is that of a copy from which the store was restored.
+func (a *Apportioner) poolIsOutdated() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.pool.Era < a.state.storeEra
+}
+
 // reload reads the row and the pool from the store.
 func (a *Apportioner) reload(ctx context.Context) error {
 	a.mu.Lock()
--- a/apportioner/merge.go
+++ b/apportioner/merge.go
@@ -1,6 +1,7 @@
 package apportioner
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -74,6 +75,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if ownPool.Era > theirPool.Era && bytes.Equal(base, theirs) {
+		return mine, nil // the first change of an era; others plan anew from it
+	}
 	merged := theirPool.clone()
 	if err := merged.merge(&basePool, &ownPool); err != nil {
 		return nil, err
@@ -107,12 +111,21 @@
 
 // merge applies the change from base to mine.
 func (p *pool) merge(base, mine *pool) error {
+	if base.Era != p.Era || mine.Era != p.Era {
+		return fmt.Errorf("merge: the pool is of era %d, and a change from era %d to %d does not apply to it", p.Era, base.Era, mine.Era)
+	}
+	p.mergeEra(base, mine)
 	for name, m := range mine.Accounts {
 		b, t := base.Accounts[name], p.Accounts[name]
-		granted := m.Granted - b.Granted
+		granted, withheld := m.Granted-b.Granted, m.Withheld-b.Withheld
 		t.Granted += granted
-		if granted > 0 && t.Granted > m.Prepaid {
-			return fmt.Errorf("merge: account %q has prepaid %d tokens, of which %d would be granted", name, m.Prepaid, t.Granted)
+		t.Withheld += withheld
+		taken := t.Granted
+		if !p.Settled {
+			taken += t.Withheld
+		}
+		if granted+withheld > 0 && taken > m.Prepaid {
+			return fmt.Errorf("merge: account %q has prepaid %d tokens, of which %d would be granted", name, m.Prepaid, taken)
 		}
 		t.Spent += m.Spent - b.Spent
 		t.Demand = max(t.Demand+m.Demand-b.Demand, 0)
--- a/apportioner/merge_test.go
+++ b/apportioner/merge_test.go
@@ -109,3 +109,41 @@
 		require.Equal(t, netip.MustParseAddrPort("10.0.0.3:7000"), r)
 	}
 }
+
+// A relay merges changes of the pool after a restore. One that was planned in the era before must not
+// apply, and the first of an era must, or no daemon could confirm its row.
+func TestMergeKeepsErasApart(t *testing.T) {
+	poolIn := func(era int64, granted, withheld contractor.Tokens, unconfirmed ...string) pool {
+		p := poolOf(granted, 0, "a", "b")
+		p.Era = era
+		p.Accounts[testAccount] = sums{Granted: granted, Prepaid: 1000, Withheld: withheld}
+		for _, vm := range unconfirmed {
+			p.Unconfirmed[vm] = era
+		}
+		return p
+	}
+	merge := func(base, theirs, mine pool) (pool, error) {
+		var values [3][]byte
+		for i, p := range []pool{base, theirs, mine} {
+			text, err := cbor.Marshal(p)
+			require.NoError(t, err)
+			values[i] = text
+		}
+		text, err := (&PoolMerger{}).Merge(poolKey, values[0], values[1], values[2])
+		if err != nil {
+			return pool{}, err
+		}
+		return decode[pool](poolKey, text)
+	}
+	copied, entered := poolIn(1, 600, 0), poolIn(2, 700, 300, "b")
+	got, err := merge(copied, copied, entered)
+	require.NoError(t, err)
+	require.Equal(t, entered, got)
+	_, err = merge(copied, entered, poolIn(1, 650, 0))
+	require.Error(t, err, "planned in the era before")
+	got, err = merge(entered, poolIn(2, 650, 300, "b"), poolIn(2, 900, 100))
+	require.NoError(t, err, "b confirms 200 more than the copy says")
+	require.Equal(t, poolIn(2, 850, 100), got)
+	_, err = merge(entered, entered, poolIn(2, 750, 300, "b"))
+	require.Error(t, err, "all that is unallocated is withheld")
+}
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -15,6 +15,12 @@
 type pool struct {
 	Accounts map[contractor.Account]sums `cbor:"accounts"`
 	Members  map[string]member           `cbor:"members"` // by VM
+	// Era is the era of the store in which the pool is valid. Unconfirmed has the VMs whose
+	// daemons may hold more than their rows say, since the store was restored to begin the era given.
+	Era         int64            `cbor:"era,omitempty"`
+	Unconfirmed map[string]int64 `cbor:"unconfirmed"`
+	// Settled is true once the daemons of the earlier eras have confirmed their rows.
+	Settled bool `cbor:"settled,omitempty"`
 }
 
 // member is a daemon that has a part in the balances.
@@ -23,6 +29,8 @@
 	Address string `cbor:"address"`
 	// LinkBandwidth is that of its VM's network link in bytes per second, or zero.
 	LinkBandwidth float32 `cbor:"link"`
+	// Era is the era of the store in which the daemon has written its row.
+	Era int64 `cbor:"era,omitempty"`
 }
 
 // sums are the totals of one account over all rows, including rows that are gone.
@@ -32,12 +40,16 @@
 	Demand  float32           `cbor:"demand"`
 	// Prepaid is what the account has prepaid, as known to the last daemon that rebalanced.
 	Prepaid contractor.Tokens `cbor:"bound"`
+	// Withheld is what daemons without a confirmed row may hold. It counts until the pool is settled.
+	Withheld contractor.Tokens `cbor:"withheld,omitempty"`
 }
 
 // row is the entry of one daemon.
 type row struct {
-	Incarnation contractor.Incarnation         `cbor:"incarnation"`
-	Accounts    map[contractor.Account]holding `cbor:"accounts"`
+	Incarnation contractor.Incarnation `cbor:"incarnation"`
+	// Era is the era of the store in which the row was written.
+	Era      int64                          `cbor:"era,omitempty"`
+	Accounts map[contractor.Account]holding `cbor:"accounts"`
 	// LeaseExpiryMillis is the time of day at which the leases of each stage have expired,
 	// in milliseconds since 1970.
 	LeaseExpiryMillis [len(stages)]int64 `cbor:"unlocks"`
@@ -57,7 +69,12 @@
 	Demand  float32                        `cbor:"demand"`
 }
 
-func (p *pool) sums(name contractor.Account) sums { return p.Accounts[name] }
+// sums returns the totals of an account. What is withheld counts as granted.
+func (p *pool) sums(name contractor.Account) sums {
+	s := p.Accounts[name]
+	s.Granted += p.withheld(name)
+	return s
+}
 
 // demand is the demand of all daemons for all accounts, in tokens per second.
 func (p *pool) demand() float64 {
@@ -69,13 +86,16 @@
 }
 
 func (p *pool) clone() pool {
-	c := pool{Accounts: maps.Clone(p.Accounts), Members: maps.Clone(p.Members)}
+	c := pool{Accounts: maps.Clone(p.Accounts), Members: maps.Clone(p.Members), Era: p.Era, Unconfirmed: maps.Clone(p.Unconfirmed), Settled: p.Settled}
 	if c.Accounts == nil {
 		c.Accounts = make(map[contractor.Account]sums)
 	}
 	if c.Members == nil {
 		c.Members = make(map[string]member)
 	}
+	if c.Unconfirmed == nil {
+		c.Unconfirmed = make(map[string]int64)
+	}
 	return c
 }
 
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -13,6 +13,8 @@
 // proposal is a change of the row and, if it rebalances, of the pool.
 type proposal struct {
 	rebalances bool
+	// confirms is true if the row is written over that of a copy from which the store was restored.
+	confirms   bool
 	pool       pool
 	row        row
 	joined     bool
@@ -29,11 +31,15 @@
 	reading, now := a.readBootClock(), a.config.Now()
 	state := &a.state
 	p := &proposal{row: state.row.clone(), rebalances: a.rebalanceDue(now)}
-	if state.row.Incarnation != a.config.Incarnation {
+	switch {
+	case a.unconfirmed():
+		a.planConfirmation(p)
+	case state.row.Incarnation != a.config.Incarnation:
 		a.planTakeOver(p)
-	} else {
+	default:
 		if p.rebalances {
 			p.pool = state.pool.clone()
+			a.updateEra(&p.pool)
 			a.planMembership(p)
 		}
 		a.planAccounts(p, now)
@@ -57,7 +63,13 @@
 // write the pool, so that daemons that start at the same time do not conflict.
 func (a *Apportioner) planTakeOver(p *proposal) {
 	p.rebalances, p.joined = false, true
-	p.lostTokens = p.row.takeOver(a.config.Incarnation, a.state.predecessorStage)
+	stage := a.state.predecessorStage
+	if p.row.Era < a.state.storeEra {
+		stage = len(stages) // the row is that of a copy: what its daemon held later is not known
+		a.state.predecessorLost = p.row.Incarnation != 0
+	}
+	p.lostTokens = p.row.takeOver(a.config.Incarnation, stage)
+	p.row.Era = a.state.storeEra
 }
 
 // rebalanceDue reports whether the next round changes the pool: periodically, and when a share
@@ -108,7 +120,7 @@
 	if state.leaving {
 		delete(p.pool.Members, a.config.Name)
 	} else {
-		p.pool.Members[a.config.Name] = member{Round: state.roundNumber, Address: a.config.Address.String(), LinkBandwidth: float32(a.config.LinkBandwidth)}
+		p.pool.Members[a.config.Name] = member{Round: state.roundNumber, Address: a.config.Address.String(), LinkBandwidth: float32(a.config.LinkBandwidth), Era: a.state.storeEra}
 	}
 }
 
--- /dev/null
+++ b/apportioner/restore.go
@@ -0,0 +1,168 @@
+package apportioner
+
+import (
+	"laburnumline/contractor"
+	"laburnumline/persister"
+	"laburnumline/recorder"
+)
+
+// A store that is restored from an older copy begins a new era. The rows and the pool of the copy
+// are consistent with each other, but they lack what was granted, returned and spent since. The
+// daemons that were running know it: their grants together never exceeded what was prepaid. In a new
+// era each daemon therefore confirms its row: it writes what it holds over what the copy says, and
+// changes the sums of the pool by the difference.
+//
+// As long as a daemon has not confirmed its row, it may hold any part of what the copy shows as
+// unallocated. That part is withheld from all others. When a daemon confirms more than its row in
+// the copy, the difference was a part of what is withheld, so granted plus withheld stays as it was.
+// The rest is released when the last daemon that is known has confirmed, and some time for those
+// that are not known has passed. A daemon that died after the copy never confirms, and an
+// incarnation that starts from a row of an earlier era counts all of it as spent.
+
+// eraStore is a store that tells the era that it has seen last.
+type eraStore interface {
+	Era() int64
+}
+
+// storeEra returns the era of entries that were just read.
+func (a *Apportioner) storeEra(entries []persister.Entry) int64 {
+	era := a.state.storeEra
+	if s, ok := a.config.Store.(eraStore); ok {
+		era = max(era, s.Era())
+	}
+	for _, e := range entries {
+		era = max(era, persister.EraOf(e.Revision))
+	}
+	return era
+}
+
+// observeEra records the era of entries that are about to replace the known row and pool. The lock
+// is held.
+func (a *Apportioner) observeEra(entries []persister.Entry) {
+	state, era := &a.state, a.storeEra(entries)
+	if era == state.storeEra {
+		return
+	}
+	state.storeEra, state.storeEraSince = era, a.config.Now()
+	if state.earlierMembers == nil {
+		state.earlierMembers = make(map[string]bool)
+	}
+	for vm := range state.pool.Members {
+		state.earlierMembers[vm] = true
+	}
+}
+
+// unconfirmed reports whether this daemon has yet to write its row in the current era. The lock is
+// held.
+func (a *Apportioner) unconfirmed() bool { return a.state.joined && a.state.era < a.state.storeEra }
+
+// planConfirmation plans the row as this daemon knows it, with the grants and limits it has.
+func (a *Apportioner) planConfirmation(p *proposal) {
+	state := &a.state
+	p.rebalances, p.confirms = true, true
+	p.pool = state.pool.clone()
+	a.updateEra(&p.pool)
+	a.planMembership(p)
+	if since, ok := p.pool.Unconfirmed[a.config.Name]; ok && state.era < since {
+		delete(p.pool.Unconfirmed, a.config.Name)
+	}
+	p.row.Incarnation, p.row.Era = a.config.Incarnation, state.storeEra
+	for name, s := range a.accounts {
+		h := p.row.Accounts[name]
+		h.Granted, h.Limits, h.Spent = s.granted, s.limits, s.spent
+		p.pool.confirm(&p.row, name, h, s.spent+s.reserved, a.prepaid[name])
+	}
+}
+
+// updateEra makes the pool one of the current era, adds the daemons that may hold more than their
+// rows in the copy say, and settles the pool when there are none. The lock is held.
+func (a *Apportioner) updateEra(p *pool) {
+	state := &a.state
+	p.enterEra(state.storeEra, a.prepaid)
+	for vm := range state.earlierMembers {
+		if p.Members[vm].Era < p.Era {
+			p.addUnconfirmed(vm)
+		}
+	}
+	if state.predecessorLost {
+		p.addUnconfirmed(a.config.Name)
+	}
+	if len(p.Unconfirmed) == 0 && a.config.Now().Sub(state.storeEraSince) >= settleTime {
+		p.Settled = true
+	}
+}
+
+// addUnconfirmed adds a VM, unless it is known to be unconfirmed since an earlier era.
+func (p *pool) addUnconfirmed(vm string) {
+	if _, ok := p.Unconfirmed[vm]; !ok {
+		p.Unconfirmed[vm] = p.Era
+	}
+}
+
+// enterEra withholds all that is not allocated. It does nothing if the pool is of that era already.
+func (p *pool) enterEra(era int64, prepaid map[contractor.Account]contractor.Tokens) {
+	if p.Era >= era {
+		return
+	}
+	p.Era, p.Settled = era, false
+	for vm := range p.Members {
+		p.addUnconfirmed(vm)
+	}
+	for name := range prepaid {
+		p.Accounts[name] = p.Accounts[name] // a new account may have been granted since the copy
+	}
+	for name, s := range p.Accounts {
+		s.Prepaid = max(s.Prepaid, prepaid[name])
+		s.Withheld = s.Prepaid - s.Granted
+		p.Accounts[name] = s
+	}
+}
+
+// confirm replaces a holding of the copy by what its daemon holds. An account may have been topped
+// up since the copy, and the others may not know it yet: that is withheld, too. If the pool is
+// settled, the daemon keeps no more than is unallocated, but at least what is committed: spent or
+// reserved.
+func (p *pool) confirm(r *row, name contractor.Account, h holding, committed, prepaid contractor.Tokens) {
+	s, copied := p.Accounts[name], r.Accounts[name].Granted
+	if prepaid > s.Prepaid {
+		s.Withheld += prepaid - s.Prepaid
+		s.Prepaid = prepaid
+	}
+	if excess := s.Granted + h.Granted - copied - s.Prepaid; p.Settled && excess > 0 {
+		h.Granted = max(h.Granted-excess, min(committed, h.Granted))
+	}
+	s.Withheld -= h.Granted - copied
+	p.Accounts[name] = s
+	p.apply(r, name, h)
+}
+
+// withheld returns the tokens of an account that daemons without a confirmed row may hold.
+func (p *pool) withheld(name contractor.Account) contractor.Tokens {
+	if p.Settled {
+		return 0
+	}
+	return p.Accounts[name].Withheld
+}
+
+// recordConfirmation ends the confirmation after its acknowledged write. The lock is held.
+func (a *Apportioner) recordConfirmation() {
+	state := &a.state
+	state.era, state.earlierMembers = state.row.Era, nil
+	a.config.Recorder.Event(recorder.SharesConfirmed, "vm", a.config.Name, "era", state.era, "unconfirmed", len(state.pool.Unconfirmed))
+}
+
+// mergeEra applies the change from base to mine of what is unconfirmed. The members are
+// merged afterwards.
+func (p *pool) mergeEra(base, mine *pool) {
+	for vm := range mine.Unconfirmed {
+		if _, ok := base.Unconfirmed[vm]; !ok && p.Members[vm].Era < p.Era {
+			p.addUnconfirmed(vm)
+		}
+	}
+	for vm := range base.Unconfirmed {
+		if _, ok := mine.Unconfirmed[vm]; !ok {
+			delete(p.Unconfirmed, vm)
+		}
+	}
+	p.Settled = (p.Settled || mine.Settled) && len(p.Unconfirmed) == 0
+}
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -109,6 +109,9 @@
 			return err
 		}
 		err = a.commit(ctx, p)
+		if err == nil && p.confirms {
+			continue // the round itself follows
+		}
 		if !errors.Is(err, persister.ErrConflict) {
 			return err
 		}
@@ -178,6 +181,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	state := &a.state
+	a.observeEra(entries)
 	for _, e := range entries {
 		if e.Key == poolKey {
 			p, err := decode[pool](e.Key, e.Value)
@@ -197,7 +201,7 @@
 		}
 		state.row, state.rowRevision = own.clone(), e.Revision
 	}
-	if state.joined && state.row.Incarnation != a.config.Incarnation {
+	if state.joined && state.row.Incarnation != a.config.Incarnation && state.row.Era >= state.storeEra {
 		a.stopSpending()
 		return errReplaced
 	}
@@ -205,6 +209,9 @@
 	if state.row.Incarnation != a.config.Incarnation {
 		return nil
 	}
+	if state.joined && state.row.Era < state.storeEra {
+		return nil // a copy, over which this daemon writes what it holds
+	}
 	// A write whose outcome is unknown may still take effect and return tokens. Only an
 	// acknowledged write raises what may be spent.
 	if !state.joined {
@@ -213,6 +220,9 @@
 		a.join()
 		return nil
 	}
+	if a.unconfirmed() {
+		a.recordConfirmation() // the response to its write was lost
+	}
 	for name, h := range state.row.Accounts {
 		a.account(name).lowerTo(h)
 	}
@@ -230,7 +240,7 @@
 // join starts spending from the row that this incarnation has taken over. The lock is held.
 func (a *Apportioner) join() {
 	state := &a.state
-	state.joined = true
+	state.joined, state.era = true, state.row.Era
 	if len(state.pool.Members) == 0 {
 		state.registerAfter = a.config.Now().Add(rand.N(registerSpread))
 	}
@@ -280,14 +290,17 @@
 		return err
 	}
 	state.row, state.rowRevision = p.row, revision
-	state.current = true
+	state.current = persister.EraOf(revision) <= state.storeEra
 	if p.rebalances {
 		state.pool, state.poolRevision, state.rebalancedAt = p.pool, revision, a.config.Now()
-		state.current = a.adoptMergedPool(merged)
+		state.current = a.adoptMergedPool(merged) && state.current
 	}
 	if !state.joined {
 		a.join()
 	}
+	if p.confirms {
+		a.recordConfirmation()
+	}
 	for name, h := range p.row.Accounts {
 		s := a.account(name)
 		s.granted, s.limits = h.Granted, h.Limits
--- a/recorder/catalogue_budgets.go
+++ b/recorder/catalogue_budgets.go
@@ -25,6 +25,9 @@
 	// ClockUnreadable is logged when the clock that counts the time since the VM's boot cannot
 	// be read.
 	ClockUnreadable Code = 1107
+	// SharesConfirmed is logged when a daemon has written its row again after the store was
+	// restored from an older copy.
+	SharesConfirmed Code = 1108
 )
 
 var _ = declare(eventNames{
@@ -38,4 +41,5 @@
 	LoanUnanswered:    "loan_unanswered",
 	LoanFailed:        "loan_failed",
 	ClockUnreadable:   "clock_unreadable",
+	SharesConfirmed:   "shares_confirmed",
 })
