--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -4,8 +4,8 @@
 // Each daemon is a separate process with its own loopback address and reaches an emulated
 // platform store through a proxy. While callers send requests, a schedule of faults that is
 // drawn from a seed kills, stops, freezes and reloads daemons, interrupts, delays and resets
-// their connections to the store, injects faults into the store and the upstreams, and changes
-// the configuration. Faults start one after another and may overlap.
+// their connections to the store, injects faults into the store and the upstreams, restores the
+// store from older copies, and changes the configuration. Faults start one after another and may overlap.
 //
 // The guarantees are checked against what callers and upstreams have seen:
 //
@@ -143,6 +143,7 @@
 		senders.Go(func() error { s.sendRequests(ctx, random); return nil })
 	}
 	senders.Go(func() error { s.stateLimits(ctx); return nil })
+	senders.Go(func() error { s.restoreStore(ctx); return nil })
 	s.injectFaults(ctx)
 	_ = senders.Wait() // the functions return no errors
 	s.clearFaults()
