registrar: an upstream that leaves stays out, whatever its entry says

What callers saw: nothing; the upstream was about to exit, and a request in flight may have been cut off. The same cause elsewhere, on the code of today: the mark belonged to the start that the list had, so an entry of another start, or without one, made the upstream usable again; and what the list itself had said, that an upstream drains or was removed, was forgotten when a restored store showed an older entry. Class: what a peer said about itself, kept under a name that another source can change. Ruled out: a path without a mark; all attempts, also retries and resumed streams, go through one function that marks before the response is passed on, and probes send no request. Upstreams of the own interface cannot state that they leave. Change: departures are kept by name. A statement holds for the listed start and all earlier ones, and for a minute for any start before it; a draining entry for its start and earlier ones, until the upstream writes that it is ready. An entry that was deleted and comes back in a list of all entries waits until it is written again, or 3.6 s, after which it has expired unless it is renewed. In TestUpstreamThatStatesItsLeavingGetsNoRequests the upstream restarts after its statement, as it does in fact, and no longer in 1970. Before: seven of twelve cases fail; after: all fourteen pass.

--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -67,7 +67,7 @@
 	send(100)
 	require.Equal(t, before+1, u.sentTo[leaving])
 
-	u.leaving[leaving], startedAtMs = false, 2
+	u.leaving[leaving], startedAtMs = false, time.Now().Add(time.Second).UnixMilli()
 	list.Reset(entries)
 	send(100)
 	require.Greater(t, u.sentTo[leaving], before+1)
--- a/registrar/leaving_test.go
+++ b/registrar/leaving_test.go
@@ -75,6 +75,16 @@
 			put(t, l, leavingEntry{Start: early, Draining: true})
 			l.Reset([]persister.Entry{leavingEntryOf(t, leavingEntry{Start: early})})
 		}, false},
+		{"draining, then written as ready", func(t *testing.T, l leavingList) {
+			put(t, l, leavingEntry{Start: early, Draining: true})
+			put(t, l, leavingEntry{Start: early})
+		}, true},
+		{"stated by a start that the list does not have, long ago", func(t *testing.T, l leavingList) {
+			state(l)
+			put(t, l, leavingEntry{Start: late})
+			l.clock.now = l.clock.now.Add(otherStartRetention + time.Millisecond)
+			l.Expire()
+		}, true},
 		{"draining, restarted", func(t *testing.T, l leavingList) {
 			put(t, l, leavingEntry{Start: early, Draining: true})
 			put(t, l, leavingEntry{Start: restarted})
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -12,7 +12,6 @@
 package registrar
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -55,9 +54,6 @@
 	// recoveryTime is how long the store may lack entries of live upstreams after it
 	// has recovered, which the users give as about two seconds.
 	recoveryTime = 1800 * time.Millisecond
-	// leavingRetention is how long it is remembered that an upstream leaves. Its entry may disappear
-	// and come back in that time, when the store was away.
-	leavingRetention = time.Hour
 	// failureWindow is how long after a failed call a deleted entry may still belong
 	// to a live upstream: three heartbeats, after which the store deletes an entry.
 	failureWindow = 3600 * time.Millisecond
@@ -83,8 +79,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry // by key
-	// leaving has the upstreams that have stated that they leave, in this start, and when.
-	leaving map[throttler.ID]time.Time
+	leaving map[Name]departure
+	removed map[Name]removal // while the store was available
 
 	available  atomic.Pointer[map[resolver.ServiceName][]Upstream]
 	generation atomic.Int64
@@ -110,7 +106,7 @@
 	if c.ListAge == nil {
 		c.ListAge = func() time.Duration { return 0 }
 	}
-	r := &Registrar{config: c, entries: make(map[string]*entry), leaving: make(map[throttler.ID]time.Time), createdAt: c.Now()}
+	r := &Registrar{config: c, entries: make(map[string]*entry), leaving: make(map[Name]departure), removed: make(map[Name]removal), createdAt: c.Now()}
 	r.software.Store(&softwareView{})
 	r.publish()
 	return r
@@ -164,20 +160,6 @@
 // Generation returns a number that increases with each update of the list.
 func (r *Registrar) Generation() int64 { return r.generation.Load() }
 
-// MarkLeaving removes an upstream that has stated that it leaves from the list of Of, until it starts
-// anew. Its entry may be of an earlier time.
-func (r *Registrar) MarkLeaving(u *Upstream) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.config.Now()
-	maps.DeleteFunc(r.leaving, func(_ throttler.ID, since time.Time) bool { return now.Sub(since) > leavingRetention })
-	if id := u.LimitID(); r.leaving[id].IsZero() {
-		r.leaving[id] = now
-		r.config.Recorder.Event(recorder.UpstreamLeaving, "upstream", u.Name, "service", u.Service)
-		r.publish()
-	}
-}
-
 // Reset replaces all entries.
 func (r *Registrar) Reset(entries []persister.Entry) {
 	r.mu.Lock()
@@ -186,6 +168,9 @@
 	for _, e := range entries {
 		seen[e.Key] = true
 		r.put(e)
+		if restored := r.entries[e.Key]; restored.valid {
+			r.hide(&restored.upstream)
+		}
 	}
 	for key := range r.entries {
 		if !seen[key] {
@@ -203,6 +188,9 @@
 		r.markMissing(c.Entry.Key)
 	} else {
 		r.put(c.Entry)
+		if written := r.entries[c.Entry.Key]; written.valid {
+			r.recordRenewal(&written.upstream)
+		}
 	}
 	r.publish()
 }
@@ -213,15 +201,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, lastFailure := r.config.Now(), r.config.LastFailure()
-	dropped := false
+	changed := r.endRetention()
 	for key, e := range r.entries {
 		if e.missingSince.IsZero() || now.Sub(lastFailure) < recoveryTime {
 			continue
 		}
 		r.drop(key, e)
-		dropped = true
+		changed = true
 	}
-	if dropped {
+	if changed {
 		r.publish()
 	}
 }
@@ -241,6 +229,9 @@
 			"address", upstream.Address, "software", upstream.Software, "draining", upstream.Draining, "revision", e.Revision)
 	}
 	r.entries[e.Key] = &entry{upstream: upstream, valid: true}
+	if upstream.Draining {
+		r.recordDeparture(&upstream, false)
+	}
 }
 
 // markMissing handles an entry that is no longer in the store: it drops the entry, or
@@ -252,6 +243,9 @@
 	}
 	now := r.config.Now()
 	if now.Sub(r.config.LastFailure()) > failureWindow {
+		if e.valid {
+			r.recordRemoval(&e.upstream)
+		}
 		r.drop(key, e)
 		return
 	}
@@ -269,7 +263,7 @@
 func (r *Registrar) publish() {
 	available := make(map[resolver.ServiceName][]Upstream)
 	for _, e := range r.entries {
-		if e.valid && !e.upstream.Draining && r.leaving[e.upstream.LimitID()].IsZero() {
+		if e.valid && !e.upstream.Draining && !r.leaves(&e.upstream) && !r.hidden(&e.upstream) {
 			available[e.upstream.Service] = append(available[e.upstream.Service], e.upstream)
 		}
 	}
