--- a/apportioner/restore_test.go
+++ b/apportioner/restore_test.go
@@ -57,6 +57,7 @@
 	for _, c := range restoreCases {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { c.run(t, rand.New(rand.NewPCG(seed, 3))) })
 			})
 		}
