--- a/apportioner/merge_test.go
+++ b/apportioner/merge_test.go
@@ -123,9 +123,11 @@
 		return p
 	}
 	merge := func(base, theirs, mine pool) (pool, error) {
+		encoder, err := cbor.CoreDetEncOptions().EncMode() // the same pool has the same value
+		require.NoError(t, err)
 		var values [3][]byte
 		for i, p := range []pool{base, theirs, mine} {
-			text, err := cbor.Marshal(p)
+			text, err := encoder.Marshal(p)
 			require.NoError(t, err)
 			values[i] = text
 		}
