--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -99,6 +99,8 @@
 	Adapter  Adapter
 	// Listen opens listeners. Nil means net.Listen for TCP.
 	Listen func(address netip.AddrPort) (net.Listener, error)
+	// DialUpstream opens connections to upstreams. Nil means connector.Dialer.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	// MetricsAddress serves the metrics. The zero value disables them.
 	MetricsAddress netip.AddrPort
 	Recorder       *recorder.Recorder
@@ -175,6 +177,10 @@
 	d.incarnation = contractor.Incarnation(rand.Uint64())
 	d.link = gauger.New(gauger.Config{BytesPerSecond: s.LinkBytesPerSecond})
 	dial := d.link.Dialer(connector.Dialer(connectTimeout, unacknowledgedTimeout))
+	dialUpstream := dial
+	if c.DialUpstream != nil {
+		dialUpstream = d.link.Dialer(c.DialUpstream)
+	}
 	d.combiner = combiner.New(combiner.Config{
 		Store: c.Adapter.Store, MaxOperations: c.Adapter.MaxOperations, BatchDelay: batchDelay,
 		Merger: &apportioner.PoolMerger{}, Recorder: rec,
@@ -191,7 +197,7 @@
 	d.throttler = throttler.New(throttler.Config{Self: s.InternalAddress, Members: d.knownPeers, Changed: d.hastenNotice, Recorder: rec})
 	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler})
 	d.pool = connector.New(connector.Config{
-		Dial: dial, ReadMetadata: c.Adapter.ParseResponseHeader, Recorder: rec,
+		Dial: dialUpstream, ReadMetadata: c.Adapter.ParseResponseHeader, Recorder: rec,
 	})
 	d.registrar = registrar.New(registrar.Config{Decode: c.Adapter.DecodeUpstream, LastFailure: d.lastFailure, ListAge: d.upstreamListAge, Recorder: rec})
 	d.configurationReplicator = replicator.New(replicator.Config{
@@ -211,7 +217,7 @@
 		Recorder: rec,
 	}
 	d.forwarder = forwarder.New(forwarder.Config{
-		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dial, address) },
+		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
 		Retries:     retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
 		SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
