delegator, forwarder: daemons that reach no upstream serve their callers through others

Cause: a daemon only ever sent requests to upstreams itself. Class: a relay with a single path. Ruled out: slow detection (no other path is in the code; requests that met a refused connection failed within milliseconds, too), and readiness (kept connections stay, and a zone that is less than half ready is used as a whole). Change: package delegator. Failed connections to two upstreams of a service make the daemon probe three others; while none accepts a connection, requests that have not run go to another daemon, which serves them as those of its own callers. One that reaches no upstream either declines, and the next is tried. Why it works: budgets, limits, retries and charges all happen at the daemon that the upstreams see; a request runs at one place or is declined before it runs.

--- /dev/null
+++ b/delegator/delegator_test.go
@@ -0,0 +1,183 @@
+package delegator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// peer serves delegated requests and returns its address and the number of those that it got.
+func peer(t *testing.T, serve func(w http.ResponseWriter, request *Request)) (netip.AddrPort, *atomic.Int64) {
+	t.Helper()
+	var requests atomic.Int64
+	server := httptest.NewServer(Handler(func(w http.ResponseWriter, _ *http.Request, request *Request) {
+		requests.Add(1)
+		serve(w, request)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().(*net.TCPAddr).AddrPort(), &requests
+}
+
+func decline(w http.ResponseWriter, _ *Request) { Decline(w) }
+
+func interrupt(http.ResponseWriter, *Request) { panic(http.ErrAbortHandler) }
+
+func clientOf(peers ...netip.AddrPort) *Client {
+	return NewClient(ClientConfig{Peers: func() []netip.AddrPort { return append([]netip.AddrPort(nil), peers...) }})
+}
+
+// A request has to arrive as its caller sent it: the other daemon authorizes, routes and charges it.
+func TestRequestArrivesUnchanged(t *testing.T) {
+	sent := &Request{
+		ID: "9c41", Method: "POST", Host: "a.example", Target: "/drafts/1?x=%2F", Header: http.Header{"X-A": {"1", "2"}}, Key: "k1",
+		TimeRemaining: time.Second, PromptTokens: 100, MaxOutputTokens: 50, Parts: []Part{{ID: 1 << 63, Tokens: 60}}, ResumeAfter: "7", Resumes: "9c40",
+		Body: []byte("\x00body"),
+	}
+	var got *Request
+	address, _ := peer(t, func(w http.ResponseWriter, r *Request) {
+		got = r
+		w.Header().Set("X-Upstream", "i-1")
+		_, _ = io.WriteString(w, "done")
+	})
+	response, err := clientOf(address).Send(t.Context(), sent)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "done", string(body))
+	require.Equal(t, "i-1", response.Header.Get("X-Upstream"))
+	require.Equal(t, sent, got)
+}
+
+// A daemon that cannot run a request must not end it: another one may. One that may have run it must.
+func TestRequestGoesToDaemonsUntilOneMayHaveRunIt(t *testing.T) {
+	served, servedRequests := peer(t, func(w http.ResponseWriter, _ *Request) { w.WriteHeader(http.StatusTeapot) })
+	declining, declinedRequests := peer(t, decline)
+	interrupting, _ := peer(t, interrupt)
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	down := unused.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, unused.Close())
+	tests := []struct {
+		name  string
+		peers []netip.AddrPort
+		want  error
+	}{
+		{"one declines, one is down", []netip.AddrPort{declining, down, served}, nil},
+		{"all decline or are down", []netip.AddrPort{declining, down}, ErrDeclined},
+		{"no other daemons", nil, ErrDeclined},
+		{"may have run", []netip.AddrPort{interrupting}, ErrInterrupted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := clientOf(tt.peers...)
+			for range 8 {
+				response, err := c.Send(t.Context(), &Request{ID: "1", TimeRemaining: time.Minute, Body: []byte("x")})
+				require.ErrorIs(t, err, tt.want)
+				if tt.want == nil {
+					response.Body.Close()
+					require.Equal(t, http.StatusTeapot, response.StatusCode)
+				}
+			}
+		})
+	}
+	require.Equal(t, int64(8), servedRequests.Load())
+	require.LessOrEqual(t, declinedRequests.Load(), int64(1+8), "a daemon that has declined is tried last for a while")
+}
+
+// A malformed request must not run, and must not end the caller's: another daemon may understand it.
+func TestMalformedRequestIsDeclined(t *testing.T) {
+	address, requests := peer(t, decline)
+	for _, length := range []string{"", "-1", "3", "1000000000"} {
+		r, err := http.NewRequest(http.MethodPost, "http://"+address.String()+path, http.NoBody)
+		require.NoError(t, err)
+		r.Header.Set(headLengthHeader, length)
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		response.Body.Close()
+		require.NotEmpty(t, response.Header.Get(declinedHeader), length)
+	}
+	require.Zero(t, requests.Load())
+}
+
+var errDown = errors.New("down")
+
+// monitorOf returns a monitor of upstreams, the first up of which are up and the others down.
+func monitorOf(count int, up *atomic.Int64) (*Monitor, []netip.AddrPort) {
+	var upstreams []netip.AddrPort
+	for i := range count {
+		upstreams = append(upstreams, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80))
+	}
+	return NewMonitor(MonitorConfig{
+		Upstreams: func(string) []netip.AddrPort { return upstreams },
+		Probe: func(_ context.Context, address netip.AddrPort) error {
+			if int64(address.Addr().As4()[3]) < up.Load() {
+				return nil
+			}
+			return errDown
+		},
+	}), upstreams
+}
+
+// A crash of one upstream, or of some, is no partition: the others serve. While none is reachable the
+// service is not, and it is again as soon as one is.
+func TestServiceIsUnreachableWhileNoUpstreamIs(t *testing.T) {
+	tests := []struct {
+		name      string
+		count     int
+		up        int64
+		failed    []int
+		reachable bool
+	}{
+		{"one failed, all down", 5, 0, []int{1, 1, 1}, true},
+		{"two failed, all down", 5, 0, []int{1, 2}, false},
+		{"two failed, others up", 5, 4, []int{3, 4}, true},
+		{"the only one is down", 1, 0, []int{0}, false},
+		{"the only one is up again", 1, 1, []int{0}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var up atomic.Int64
+				up.Store(tt.up)
+				m, upstreams := monitorOf(tt.count, &up)
+				defer m.Close()
+				for _, i := range tt.failed {
+					m.ReportFailure("drafts", upstreams[i])
+				}
+				time.Sleep(probeTimeout)
+				require.Equal(t, tt.reachable, m.Reachable("drafts"))
+				require.True(t, m.Reachable("other"))
+				time.Sleep(time.Minute)
+				require.Equal(t, tt.reachable, m.Reachable("drafts"))
+				up.Store(int64(tt.count))
+				time.Sleep(probeInterval + time.Millisecond)
+				require.True(t, m.Reachable("drafts"))
+			})
+		})
+	}
+}
+
+// Two failures far apart are those of single upstreams.
+func TestOldFailuresAreNoSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var up atomic.Int64
+		m, upstreams := monitorOf(5, &up)
+		defer m.Close()
+		m.ReportFailure("drafts", upstreams[0])
+		time.Sleep(suspicionTime + time.Millisecond)
+		m.ReportFailure("drafts", upstreams[1])
+		time.Sleep(probeTimeout)
+		require.True(t, m.Reachable("drafts"))
+	})
+}
--- /dev/null
+++ b/delegator/monitor.go
@@ -0,0 +1,150 @@
+package delegator
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"laburnumline/recorder"
+	"laburnumline/sleeper"
+)
+
+const (
+	// suspectCount is the number of upstreams with failed connections that make a Monitor probe
+	// others, suspicionTime the time in which they have to fail.
+	suspectCount  = 2
+	suspicionTime = 2 * time.Second
+	// probeCount is the number of upstreams that are probed at a time, and probeTimeout limits a
+	// probe, which takes a few round trips between zones.
+	probeCount   = 3
+	probeTimeout = 300 * time.Millisecond
+	// probeInterval is the time between two groups of probes while a service is unreachable.
+	probeInterval = 250 * time.Millisecond
+)
+
+// MonitorConfig holds what a Monitor needs.
+type MonitorConfig struct {
+	// Upstreams returns the addresses of a service's upstreams.
+	Upstreams func(service string) []netip.AddrPort
+	// Probe opens a connection to an upstream and closes it.
+	Probe    func(ctx context.Context, address netip.AddrPort) error
+	Recorder *recorder.Recorder
+	// Now returns the time. Nil means time.Now.
+	Now func() time.Time
+}
+
+// Monitor finds out which services are reachable. It is safe for concurrent use.
+type Monitor struct {
+	config MonitorConfig
+	ctx    context.Context // cancelled by Close
+	stop   context.CancelFunc
+
+	mu       sync.Mutex
+	services map[string]*serviceState
+}
+
+// serviceState is what is known about the upstreams of a service.
+type serviceState struct {
+	// failures has the upstreams to which a connection has failed, and when.
+	failures    map[netip.AddrPort]time.Time
+	probing     bool
+	unreachable bool
+}
+
+// NewMonitor returns a Monitor to which all services are reachable.
+func NewMonitor(c MonitorConfig) *Monitor {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Monitor{config: c, ctx: ctx, stop: stop, services: make(map[string]*serviceState)}
+}
+
+// Close ends the probes.
+func (m *Monitor) Close() { m.stop() }
+
+// Reachable reports whether the upstreams of a service are reachable, as far as known.
+func (m *Monitor) Reachable(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[service]
+	return s == nil || !s.unreachable
+}
+
+// ReportFailure records that a connection to an upstream could not be opened or has fallen silent. If
+// several have failed, it probes others in the background, until one accepts a connection.
+func (m *Monitor) ReportFailure(service string, address netip.AddrPort) {
+	upstreams := m.config.Upstreams(service)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.state(service)
+	now := m.config.Now()
+	s.failures[address] = now
+	for a, failedAt := range s.failures {
+		if now.Sub(failedAt) > suspicionTime {
+			delete(s.failures, a)
+		}
+	}
+	if s.probing || len(s.failures) < min(suspectCount, len(upstreams)) {
+		return
+	}
+	s.probing = true
+	go m.probeUntilReachable(service, s)
+}
+
+func (m *Monitor) state(service string) *serviceState {
+	s := m.services[service]
+	if s == nil {
+		s = &serviceState{failures: make(map[netip.AddrPort]time.Time)}
+		m.services[service] = s
+	}
+	return s
+}
+
+// probeUntilReachable probes groups of upstreams until one accepts a connection.
+func (m *Monitor) probeUntilReachable(service string, s *serviceState) {
+	for {
+		reachable := m.probeSome(service)
+		m.mu.Lock()
+		changed := s.unreachable == reachable
+		s.unreachable = !reachable
+		if reachable {
+			s.probing = false
+			clear(s.failures)
+		}
+		m.mu.Unlock()
+		if changed {
+			m.config.Recorder.Event(recorder.ServiceReachability, "service", service, "reachable", reachable)
+		}
+		if reachable {
+			return
+		}
+		if sleeper.Sleep(m.ctx, probeInterval) != nil {
+			return
+		}
+	}
+}
+
+// probeSome reports whether one of probeCount random upstreams accepts a connection. A service without
+// upstreams counts as reachable: there is nothing that another daemon could reach instead.
+func (m *Monitor) probeSome(service string) bool {
+	upstreams := m.config.Upstreams(service)
+	if len(upstreams) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, probeTimeout)
+	defer cancel()
+	count := min(probeCount, len(upstreams))
+	results := make(chan bool, count)
+	for _, i := range rand.Perm(len(upstreams))[:count] {
+		go func() { results <- m.config.Probe(ctx, upstreams[i]) == nil }()
+	}
+	for range count {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -36,6 +36,9 @@
 	target := string(x.service.Name)
 	f.Retries.RecordFirstAttempt(x.accountName(), target)
 	for attempt := 1; ; attempt++ {
+		if attempt > 1 && x.unreachable() {
+			return x.finalRefusal(noUpstream(0)) // Serve delegates the request
+		}
 		if refusal := x.checkQuarantine(ctx); refusal != nil {
 			return x.finalRefusal(refusal)
 		}
@@ -147,6 +150,9 @@
 		response.Close()
 	}
 	if failed != nil {
+		if (failed.connectionLost || failed.outcome == balancer.Unreachable) && ctx.Err() == nil && f.Reachability != nil {
+			f.Reachability.ReportFailure(string(x.service.Name), choice.Upstream.Address)
+		}
 		if failed.connectionLost && ctx.Err() == nil {
 			x.reportCrash(choice.Upstream, x.eventCount-eventsBefore)
 		}
--- /dev/null
+++ b/forwarder/delegation.go
@@ -0,0 +1,117 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"laburnumline/balancer"
+	"laburnumline/connector"
+	"laburnumline/delegator"
+	"laburnumline/framer"
+	"laburnumline/recorder"
+	"laburnumline/refuser"
+)
+
+// unreachable reports whether the request has to be served by another daemon: this one reaches no
+// upstream of its service, and the request has either not run or may run again.
+func (x *exchange) unreachable() bool {
+	config := x.forwarder.config
+	if config.Reachability == nil || x.responseStarted {
+		return false
+	}
+	if x.executions > 0 && (!x.route.AllowsReexecution() || x.executions >= x.route.Attempts) {
+		return false
+	}
+	return !config.Reachability.Reachable(string(x.service.Name))
+}
+
+// serveElsewhere sends the request to another daemon and forwards its response. A request that another
+// daemon has delegated to this one is declined instead.
+func (x *exchange) serveElsewhere(ctx context.Context) {
+	// The other daemon reserves the tokens.
+	x.reservation.Release()
+	x.reservation = nil
+	if x.request.Delegated && x.executions == 0 {
+		x.forwarder.config.Recorder.Count("delegator.declined", 1)
+		delegator.Decline(x.writer)
+		return
+	}
+	refusal := x.finalRefusal(noUpstream(0))
+	if !x.request.Delegated && x.forwarder.config.Delegate != nil {
+		refusal = x.delegate(ctx)
+	}
+	if refusal != nil {
+		x.writeRefusal(refusal)
+		return
+	}
+	x.forwarder.serving.Update(int64(time.Since(x.request.ReceivedAt)))
+}
+
+// delegate sends the request to another daemon. It returns nil when the response was forwarded to the
+// caller.
+func (x *exchange) delegate(ctx context.Context) *refuser.Refusal {
+	f := x.forwarder.config
+	response, err := f.Delegate.Send(ctx, x.delegatedRequest())
+	if errors.Is(err, delegator.ErrInterrupted) {
+		x.executions++
+	}
+	if err != nil {
+		f.Recorder.Event(recorder.DelegationFailed, "id", x.request.ID, "service", x.service.Name, "left", time.Until(x.deadline), "err", err)
+		if ctx.Err() != nil {
+			return x.contextRefusal(ctx, balancer.Choice{})
+		}
+		return x.finalRefusal(noUpstream(0).WithCause(err))
+	}
+	f.Recorder.Count("delegator.sent", 1)
+	defer response.Body.Close()
+	return x.forwardDelegated(ctx, response)
+}
+
+func (x *exchange) delegatedRequest() *delegator.Request {
+	r := x.request
+	d := &delegator.Request{
+		ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Key: r.Key, TimeRemaining: time.Until(x.deadline),
+		PromptTokens: int64(r.PromptTokens), MaxOutputTokens: int64(r.MaxOutputTokens), ResumeAfter: r.ResumeAfter, Resumes: r.Resumes, Body: x.body,
+	}
+	for _, p := range r.PromptParts {
+		d.Parts = append(d.Parts, delegator.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	return d
+}
+
+// forwardDelegated forwards the response of another daemon, which is that of an upstream or its own
+// refusal. The other daemon has charged it and recorded the software version of a stream.
+func (x *exchange) forwardDelegated(ctx context.Context, from *http.Response) *refuser.Refusal {
+	x.pinned, x.served, x.continued = true, true, true
+	response := &connector.Response{
+		Status: from.StatusCode, Header: from.Header, Length: from.ContentLength, Framing: framer.Of(from), Body: from.Body,
+	}
+	var failed *failure
+	if x.isStream(response) {
+		x.executions++
+		failed = x.forwardStream(response)
+	} else {
+		failed = x.forwardWhole(response)
+	}
+	if failed == nil {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return x.contextRefusal(ctx, balancer.Choice{})
+	}
+	return x.finalRefusal(refuser.New(failed.reason, "delegate").WithCause(failed.err))
+}
+
+// forwardWhole forwards a response that is not a stream, whatever its status.
+func (x *exchange) forwardWhole(response *connector.Response) *failure {
+	buffered, err := readResponse(response)
+	if err != nil {
+		x.executions++
+		return x.responseFailure(err)
+	}
+	x.startResponse()
+	buffered.write(x.writer)
+	return nil
+}
--- /dev/null
+++ b/forwarder/delegation_test.go
@@ -0,0 +1,116 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumline/connector"
+	"laburnumline/delegator"
+)
+
+// otherDaemon is a fake of a delegate: it returns a response, or the error.
+type otherDaemon struct {
+	response func() *http.Response
+	err      error
+	requests []*delegator.Request
+}
+
+func (o *otherDaemon) Send(_ context.Context, r *delegator.Request) (*http.Response, error) {
+	o.requests = append(o.requests, r)
+	if o.err != nil {
+		return nil, o.err
+	}
+	return o.response(), nil
+}
+
+// reachability is a fake of a monitor, to which a service is unreachable after some failures.
+type reachability struct{ failuresLeft int }
+
+func (r *reachability) Reachable(string) bool                { return r.failuresLeft > 0 }
+func (r *reachability) ReportFailure(string, netip.AddrPort) { r.failuresLeft-- }
+
+// unreachableUpstreams accept no connection, or lose the response.
+type unreachableUpstreams struct {
+	written bool
+	sends   int
+}
+
+func (u *unreachableUpstreams) Send(_ context.Context, address netip.AddrPort, _ *connector.Call) (*connector.Response, error) {
+	u.sends++
+	return nil, &connector.CallError{Written: u.written, ConnectFailed: !u.written, Step: "connect", Peer: address, Err: errors.New("timed out")}
+}
+
+func respondWith(status int, header http.Header, body io.Reader) func() *http.Response {
+	return func() *http.Response {
+		return &http.Response{StatusCode: status, Header: header, Body: io.NopCloser(body), ContentLength: -1, TransferEncoding: []string{"chunked"}}
+	}
+}
+
+// A daemon that reaches no upstream has its requests served by another one. What that one answers reaches
+// the caller as it is, what it may have run is not sent again, and a response that breaks off does not
+// look complete.
+func TestRequestIsServedByAnotherDaemon(t *testing.T) {
+	signed := http.Header{"Runner-Signature": {"s"}}
+	stream := http.Header{"Runner-Signature": {"s"}, "Content-Type": {"text/event-stream"}}
+	events := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	tests := []struct {
+		name         string
+		path         string
+		failures     int  // until the service counts as unreachable
+		written      bool // the upstreams lose the response
+		delegated    bool
+		other        otherDaemon
+		status       int
+		body         string
+		aborted      bool
+		sent, direct int
+	}{
+		{name: "served", path: "/once/", other: otherDaemon{response: respondWith(200, signed, strings.NewReader("done"))}, status: 200, body: "done", sent: 1},
+		{name: "found on the way", path: "/once/", failures: 2, other: otherDaemon{response: respondWith(200, signed, strings.NewReader("done"))}, status: 200, body: "done", sent: 1, direct: 2},
+		{name: "stream", path: "/stream/", other: otherDaemon{response: respondWith(200, stream, strings.NewReader(events))}, status: 200, body: events, sent: 1},
+		{name: "refused there", path: "/once/", other: otherDaemon{response: respondWith(402, nil, strings.NewReader("budget_exhausted\n"))}, status: 402, body: "budget_exhausted\n", sent: 1},
+		{name: "none reaches the upstreams", path: "/once/", other: otherDaemon{err: delegator.ErrDeclined}, status: 503, sent: 1},
+		{name: "response is lost", path: "/once/", other: otherDaemon{err: delegator.ErrInterrupted}, status: 502, sent: 1},
+		{name: "may have run here", path: "/once/", failures: 1, written: true, status: 502, direct: 1},
+		{name: "stream breaks off", path: "/stream/", other: otherDaemon{response: respondWith(200, stream, io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2"), iotest.ErrReader(io.ErrUnexpectedEOF)))}, aborted: true, body: "id: 1\ndata: a\n\n", status: 200, sent: 1},
+		{name: "body breaks off", path: "/once/", other: otherDaemon{response: respondWith(200, signed, io.MultiReader(strings.NewReader("do"), iotest.ErrReader(io.ErrUnexpectedEOF)))}, status: 502, sent: 1},
+		{name: "delegated to this one", path: "/once/", delegated: true, status: 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			fake := newFakeUpstreams(t)
+			config := fake.forwarder().config
+			upstreams := &unreachableUpstreams{written: tt.written}
+			config.Sender, config.Delegate, config.Reachability = upstreams, &tt.other, &reachability{failuresLeft: tt.failures}
+			w := httptest.NewRecorder()
+			serve := func() {
+				New(config).Serve(t.Context(), w, &Request{
+					ID: "1", Method: "POST", Host: "a.example", Path: tt.path, Target: tt.path, Header: http.Header{}, Key: "key",
+					Body: strings.NewReader("x"), Length: 1, CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(), Delegated: tt.delegated,
+				})
+			}
+			if tt.aborted {
+				require.PanicsWithValue(t, http.ErrAbortHandler, serve)
+			} else {
+				serve()
+			}
+			require.Equal(t, tt.status, w.Code)
+			if tt.body != "" {
+				require.Equal(t, tt.body, w.Body.String())
+			}
+			require.Len(t, tt.other.requests, tt.sent)
+			require.Equal(t, tt.direct, upstreams.sends)
+			require.Equal(t, tt.delegated, w.Header().Get("Declined") != "", "a daemon declines what was delegated to it, and nothing else")
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 	"laburnumline/balancer"
 	"laburnumline/connector"
 	"laburnumline/contractor"
+	"laburnumline/delegator"
 	"laburnumline/pinner"
 	"laburnumline/recorder"
 	"laburnumline/refuser"
@@ -69,6 +70,8 @@
 	ResumeAfter string
 	// Resumes is the ID of the caller's attempt that received the first event of that stream.
 	Resumes string
+	// Delegated is true if another daemon has sent the request.
+	Delegated bool
 }
 
 // Metadata is what the daemon sends to an upstream about a request, in its headers.
@@ -124,6 +127,18 @@
 	Decide(now time.Time, account contractor.Account, target string, attempt int, deadline time.Time, f retrier.Failure) retrier.Decision
 }
 
+// Reachability knows which services this daemon reaches.
+type Reachability interface {
+	Reachable(service string) bool
+	// ReportFailure records that a connection to an upstream has failed.
+	ReportFailure(service string, address netip.AddrPort)
+}
+
+// Delegate sends requests to other daemons.
+type Delegate interface {
+	Send(ctx context.Context, r *delegator.Request) (*http.Response, error)
+}
+
 // Limits records the request limits that upstreams state.
 type Limits interface {
 	Record(id throttler.ID, r throttler.Response)
@@ -141,6 +156,9 @@
 	Retries    Retries
 	Quarantine Quarantine
 	Permits    Permits
+	// Reachability and Delegate may be nil, in which case the daemon sends all requests itself.
+	Reachability Reachability
+	Delegate     Delegate
 	// Probe opens a connection to an upstream and closes it.
 	Probe func(ctx context.Context, address netip.AddrPort) error
 	// SetMetadata writes the metadata into the headers of a call.
@@ -195,6 +213,10 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
 	defer cancel()
+	if x.unreachable() {
+		x.serveElsewhere(ctx)
+		return
+	}
 	if refusal := x.findSoftware(ctx); refusal != nil {
 		x.writeRefusal(refusal)
 		return
@@ -205,7 +227,12 @@
 	}
 	defer x.settle()
 	defer x.endPermit()
-	if refusal := x.runAttempts(ctx); refusal != nil {
+	refusal := x.runAttempts(ctx)
+	if refusal != nil && (refusal.Reason == refuser.NoUpstream || refusal.Reason == refuser.UpstreamFailed) && x.unreachable() {
+		x.serveElsewhere(ctx)
+		return
+	}
+	if refusal != nil {
 		x.writeRefusal(refusal)
 		return
 	}
--- /dev/null
+++ b/launcher/delegate.go
@@ -0,0 +1,118 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"laburnumline/balancer"
+	"laburnumline/contractor"
+	"laburnumline/delegator"
+	"laburnumline/forwarder"
+	"laburnumline/recorder"
+	"laburnumline/resolver"
+)
+
+// delegatePortOffset is the number of the internal port for delegated requests, from the first one. The
+// port is the same on all VMs.
+const delegatePortOffset = 3
+
+// delegateAddress returns the address for requests that other daemons delegate. The zero value means
+// that there are none.
+func (s Settings) delegateAddress() netip.AddrPort {
+	if !s.InternalAddress.IsValid() || s.LastInternalPort < s.InternalAddress.Port()+delegatePortOffset {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(s.InternalAddress.Addr(), s.InternalAddress.Port()+delegatePortOffset)
+}
+
+// delegatePeers returns the addresses at which the other daemons serve delegated requests.
+func (d *Daemon) delegatePeers() []netip.AddrPort {
+	own := d.config.Settings.delegateAddress()
+	if !own.IsValid() {
+		return nil
+	}
+	peers := d.shares.Peers()
+	for i, a := range peers {
+		peers[i] = netip.AddrPortFrom(a.Addr(), own.Port())
+	}
+	return peers
+}
+
+// upstreamAddresses returns the addresses of the upstreams of a service.
+func (d *Daemon) upstreamAddresses(service string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, u := range d.registrar.Of(resolver.ServiceName(service)) {
+		addresses = append(addresses, u.Address)
+	}
+	return addresses
+}
+
+// serveDelegated returns the server for delegated requests, or nil if there is no port for it.
+func (d *Daemon) serveDelegated() (*http.Server, error) {
+	address := d.config.Settings.delegateAddress()
+	if !address.IsValid() {
+		return nil, nil
+	}
+	listener, err := d.config.Listen(address)
+	if err != nil {
+		d.config.Recorder.Event(recorder.DelegationFailed, "step", "listen", "err", err)
+		return nil, err
+	}
+	server := &http.Server{
+		Handler: delegator.Handler(d.handleDelegated), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
+		ErrorLog: d.config.Recorder.HTTPErrorLog("delegate"),
+	}
+	go d.serve(server, d.link.Listener(listener))
+	return server, nil
+}
+
+// handleDelegated serves a request that another daemon has sent. A stopping daemon declines it.
+func (d *Daemon) handleDelegated(w http.ResponseWriter, r *http.Request, request *delegator.Request) {
+	if d.stopping.Load() {
+		delegator.Decline(w)
+		return
+	}
+	d.config.Recorder.Count("delegator.served", 1)
+	path, _, _ := strings.Cut(request.Target, "?")
+	f := &forwarder.Request{
+		ID: request.ID, Method: request.Method, Host: request.Host, Path: path, Target: request.Target, Header: request.Header,
+		Body: bytes.NewReader(request.Body), Length: int64(len(request.Body)), Key: request.Key,
+		CallerTimeout: max(request.TimeRemaining, time.Millisecond), ReceivedAt: time.Now(),
+		PromptTokens: contractor.Tokens(request.PromptTokens), MaxOutputTokens: contractor.Tokens(request.MaxOutputTokens),
+		ResumeAfter: request.ResumeAfter, Resumes: request.Resumes, Delegated: true,
+	}
+	if f.Header == nil {
+		f.Header = make(http.Header)
+	}
+	for _, p := range request.Parts {
+		f.PromptParts = append(f.PromptParts, balancer.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	d.forwarder.Serve(r.Context(), w, f)
+}
+
+// shutDown completes the requests in flight of servers until ctx ends, after which they end with the
+// process. A server may be nil.
+func shutDown(ctx context.Context, servers ...*http.Server) error {
+	results := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() {
+			if s == nil {
+				results <- nil
+				return
+			}
+			results <- s.Shutdown(ctx)
+		}()
+	}
+	var failed error
+	for range servers {
+		if err := <-results; !errors.Is(err, context.DeadlineExceeded) {
+			failed = errors.Join(failed, err)
+		}
+	}
+	return failed
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -36,6 +36,7 @@
 	"laburnumline/combiner"
 	"laburnumline/connector"
 	"laburnumline/contractor"
+	"laburnumline/delegator"
 	"laburnumline/forwarder"
 	"laburnumline/gauger"
 	"laburnumline/persister"
@@ -148,6 +149,7 @@
 	streamConn              atomic.Pointer[net.UDPConn]
 	pool                    *connector.Pool
 	link                    *gauger.Gauger
+	monitor                 *delegator.Monitor
 	combiner                *combiner.Combiner
 	store                   *relayer.Store
 	forwarder               *forwarder.Forwarder
@@ -216,7 +218,12 @@
 		Store: d.store, Local: d.quarantiner, Incarnation: strconv.FormatUint(uint64(d.incarnation), 16), PermitTimeout: permitTimeout,
 		Recorder: rec,
 	}
+	d.monitor = delegator.NewMonitor(delegator.MonitorConfig{
+		Upstreams: d.upstreamAddresses, Recorder: rec,
+		Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
+	})
 	d.forwarder = forwarder.New(forwarder.Config{
+		Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
 		Retries:     retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
@@ -314,13 +321,18 @@
 		return err
 	}
 	defer readinessServer.Close()
+	defer d.monitor.Close()
+	delegateServer, err := d.serveDelegated()
+	if err != nil {
+		return err
+	}
 	d.awaitConfiguration(ctx)
 	frontend, err := d.serveFrontend()
 	if err != nil {
 		return err
 	}
 	<-ctx.Done()
-	err = d.stop(frontend)
+	err = d.stop(frontend, delegateServer)
 	stopBackground()
 	return errors.Join(err, tasks.Wait())
 }
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -82,7 +82,7 @@
 
 // stop shuts the daemon down: it waits until the platform sends new connections to other
 // daemons, completes the requests in flight, and returns the rest of the shares to the store.
-func (d *Daemon) stop(frontend *http.Server) error {
+func (d *Daemon) stop(servers ...*http.Server) error {
 	grace := max(d.config.Settings.GracePeriod-leaveMargin, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
@@ -91,10 +91,7 @@
 	drain := time.NewTimer(min(drainDelay, grace/2))
 	defer drain.Stop()
 	<-drain.C
-	err := frontend.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = nil // requests that are still in flight end with the process
-	}
+	err := shutDown(ctx, servers...)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	d.shares.Leave(leaveCtx)
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -39,6 +39,9 @@
 	EntrySkipped Code = 2303
 	// UpstreamLeaving is logged when an upstream states in a response that it leaves.
 	UpstreamLeaving Code = 2304
+	// ServiceReachability is logged when this daemon reaches no upstream of a service any more, or
+	// one again.
+	ServiceReachability Code = 2305
 	// RequestRefused is logged when a request gets a refusal instead of an upstream's response.
 	RequestRefused Code = 2401
 	// AttemptFailed is logged when one attempt at an upstream has failed.
@@ -59,6 +62,9 @@
 	// SoftwareNotStored is logged when the software versions of services cannot be loaded from the
 	// store or written to it. The daemon tries again.
 	SoftwareNotStored Code = 2408
+	// DelegationFailed is logged when a request cannot be sent to another daemon while this one
+	// reaches no upstream of its service, or when its response is lost.
+	DelegationFailed Code = 2409
 )
 
 var _ = declare(eventNames{
@@ -79,6 +85,7 @@
 	UpstreamGone:        "upstream_gone",
 	EntrySkipped:        "entry_skipped",
 	UpstreamLeaving:     "upstream_leaving",
+	ServiceReachability: "service_reachability",
 	RequestRefused:      "request_refused",
 	AttemptFailed:       "attempt_failed",
 	AnswerBroken:        "answer_broken",
@@ -87,4 +94,5 @@
 	StreamContinued:     "stream_continued",
 	StreamMessageFailed: "stream_message_failed",
 	SoftwareNotStored:   "software_not_stored",
+	DelegationFailed:    "delegation_failed",
 })
