delegator: a service of which few upstreams are reachable is served by other daemons too

Cause: one accepted connection ended the state. Change: a service is unreachable from a group of probes of which none succeeds to one of which most do. If all other daemons decline, a daemon that reaches some upstreams serves the request itself. TestPartlyReachableServiceStaysUnreachable.

--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -168,6 +168,27 @@
 	}
 }
 
+// If a few of many upstreams are reachable, the service must not change its state with each group of
+// probes: requests would go to the others again and again.
+func TestPartlyReachableServiceStaysUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var up atomic.Int64
+		m, upstreams := monitorOf(40, &up)
+		defer m.Close()
+		m.ReportFailure("drafts", upstreams[3])
+		m.ReportFailure("drafts", upstreams[4])
+		time.Sleep(probeTimeout)
+		up.Store(1)
+		partly := false
+		for range 1000 {
+			time.Sleep(probeInterval)
+			require.False(t, m.Reachable("drafts"))
+			partly = partly || m.PartlyReachable("drafts")
+		}
+		require.True(t, partly)
+	})
+}
+
 // Two failures far apart are those of single upstreams.
 func TestOldFailuresAreNoSuspicion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/delegator/monitor.go
+++ b/delegator/monitor.go
@@ -48,9 +48,12 @@
 // serviceState is what is known about the upstreams of a service.
 type serviceState struct {
 	// failures has the upstreams to which a connection has failed, and when.
-	failures    map[netip.AddrPort]time.Time
-	probing     bool
+	failures map[netip.AddrPort]time.Time
+	probing  bool
+	// unreachable is true from a group of probes of which none succeeded to one of which most did.
 	unreachable bool
+	// partly is true if some of the last group of probes succeeded.
+	partly bool
 }
 
 // NewMonitor returns a Monitor to which all services are reachable.
@@ -73,6 +76,15 @@
 	return s == nil || !s.unreachable
 }
 
+// PartlyReachable reports whether an upstream of a service that is not reachable has accepted the last
+// connection.
+func (m *Monitor) PartlyReachable(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[service]
+	return s != nil && s.partly
+}
+
 // ReportFailure records that a connection to an upstream could not be opened or has fallen silent. If
 // several have failed, it probes others in the background, until one accepts a connection.
 func (m *Monitor) ReportFailure(service string, address netip.AddrPort) {
@@ -103,13 +115,15 @@
 	return s
 }
 
-// probeUntilReachable probes groups of upstreams until one accepts a connection.
+// probeUntilReachable probes groups of upstreams until most of one accept a connection. If only the first
+// group counted, a service of which a few upstreams are reachable would change its state at random.
 func (m *Monitor) probeUntilReachable(service string, s *serviceState) {
 	for {
-		reachable := m.probeSome(service)
+		accepted, probed := m.probeSome(service)
 		m.mu.Lock()
+		reachable := 2*accepted > probed || accepted > 0 && !s.unreachable
 		changed := s.unreachable == reachable
-		s.unreachable = !reachable
+		s.unreachable, s.partly = !reachable, accepted > 0
 		if reachable {
 			s.probing = false
 			clear(s.failures)
@@ -127,12 +141,12 @@
 	}
 }
 
-// probeSome reports whether one of probeCount random upstreams accepts a connection. A service without
+// probeSome probes probeCount random upstreams and returns how many accept a connection. A service without
 // upstreams counts as reachable: there is nothing that another daemon could reach instead.
-func (m *Monitor) probeSome(service string) bool {
+func (m *Monitor) probeSome(service string) (accepted, probed int) {
 	upstreams := m.config.Upstreams(service)
 	if len(upstreams) == 0 {
-		return true
+		return 1, 1
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, probeTimeout)
 	defer cancel()
@@ -143,8 +157,8 @@
 	}
 	for range count {
 		if <-results {
-			return true
+			accepted++
 		}
 	}
-	return false
+	return accepted, count
 }
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -18,7 +18,7 @@
 // upstream of its service, and the request has either not run or may run again.
 func (x *exchange) unreachable() bool {
 	config := x.forwarder.config
-	if config.Reachability == nil || x.responseStarted {
+	if config.Reachability == nil || x.responseStarted || x.declined {
 		return false
 	}
 	if x.executions > 0 && (!x.route.AllowsReexecution() || x.executions >= x.route.Attempts) {
@@ -28,25 +28,30 @@
 }
 
 // serveElsewhere sends the request to another daemon and forwards its response. A request that another
-// daemon has delegated to this one is declined instead.
-func (x *exchange) serveElsewhere(ctx context.Context) {
+// daemon has delegated to this one is declined instead. It reports false if the request is still to be
+// served: all others decline it, and this daemon reaches some upstreams.
+func (x *exchange) serveElsewhere(ctx context.Context) bool {
 	// The other daemon reserves the tokens.
 	x.reservation.Release()
 	x.reservation = nil
 	if x.request.Delegated && x.executions == 0 {
 		x.forwarder.config.Recorder.Count("delegator.declined", 1)
 		delegator.Decline(x.writer)
-		return
+		return true
 	}
 	refusal := x.finalRefusal(noUpstream(0))
 	if !x.request.Delegated && x.forwarder.config.Delegate != nil {
 		refusal = x.delegate(ctx)
 	}
+	if x.declined && ctx.Err() == nil && x.forwarder.config.Reachability.PartlyReachable(string(x.service.Name)) {
+		return false
+	}
 	if refusal != nil {
 		x.writeRefusal(refusal)
-		return
+		return true
 	}
 	x.forwarder.serving.Update(int64(time.Since(x.request.ReceivedAt)))
+	return true
 }
 
 // delegate sends the request to another daemon. It returns nil when the response was forwarded to the
@@ -57,6 +62,7 @@
 	if errors.Is(err, delegator.ErrInterrupted) {
 		x.executions++
 	}
+	x.declined = errors.Is(err, delegator.ErrDeclined)
 	if err != nil {
 		f.Recorder.Event(recorder.DelegationFailed, "id", x.request.ID, "service", x.service.Name, "left", time.Until(x.deadline), "err", err)
 		if ctx.Err() != nil {
--- a/forwarder/delegation_test.go
+++ b/forwarder/delegation_test.go
@@ -34,9 +34,13 @@
 }
 
 // reachability is a fake of a monitor, to which a service is unreachable after some failures.
-type reachability struct{ failuresLeft int }
+type reachability struct {
+	failuresLeft int
+	partly       bool
+}
 
 func (r *reachability) Reachable(string) bool                { return r.failuresLeft > 0 }
+func (r *reachability) PartlyReachable(string) bool          { return r.partly }
 func (r *reachability) ReportFailure(string, netip.AddrPort) { r.failuresLeft-- }
 
 // unreachableUpstreams accept no connection, or lose the response.
@@ -69,6 +73,7 @@
 		failures     int  // until the service counts as unreachable
 		written      bool // the upstreams lose the response
 		delegated    bool
+		partly       bool
 		other        otherDaemon
 		status       int
 		body         string
@@ -80,6 +85,7 @@
 		{name: "stream", path: "/stream/", other: otherDaemon{response: respondWith(200, stream, strings.NewReader(events))}, status: 200, body: events, sent: 1},
 		{name: "refused there", path: "/once/", other: otherDaemon{response: respondWith(402, nil, strings.NewReader("budget_exhausted\n"))}, status: 402, body: "budget_exhausted\n", sent: 1},
 		{name: "none reaches the upstreams", path: "/once/", other: otherDaemon{err: delegator.ErrDeclined}, status: 503, sent: 1},
+		{name: "none else takes it, some upstreams are reachable", path: "/once/", partly: true, other: otherDaemon{err: delegator.ErrDeclined}, status: 503, sent: 1, direct: 3},
 		{name: "response is lost", path: "/once/", other: otherDaemon{err: delegator.ErrInterrupted}, status: 502, sent: 1},
 		{name: "may have run here", path: "/once/", failures: 1, written: true, status: 502, direct: 1},
 		{name: "stream breaks off", path: "/stream/", other: otherDaemon{response: respondWith(200, stream, io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2"), iotest.ErrReader(io.ErrUnexpectedEOF)))}, aborted: true, body: "id: 1\ndata: a\n\n", status: 200, sent: 1},
@@ -91,7 +97,7 @@
 			fake := newFakeUpstreams(t)
 			config := fake.forwarder().config
 			upstreams := &unreachableUpstreams{written: tt.written}
-			config.Sender, config.Delegate, config.Reachability = upstreams, &tt.other, &reachability{failuresLeft: tt.failures}
+			config.Sender, config.Delegate, config.Reachability = upstreams, &tt.other, &reachability{failuresLeft: tt.failures, partly: tt.partly}
 			w := httptest.NewRecorder()
 			serve := func() {
 				New(config).Serve(t.Context(), w, &Request{
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -56,6 +56,8 @@
 	softwareKnown bool
 	// pinned is true once the version is recorded for other attempts of the caller.
 	pinned bool
+	// declined is true once no other daemon has taken the request.
+	declined bool
 	// upstream is that of the current attempt, and attemptEvents counts the events from it.
 	upstream      registrar.Upstream
 	attemptEvents int64
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -130,6 +130,8 @@
 // Reachability knows which services this daemon reaches.
 type Reachability interface {
 	Reachable(service string) bool
+	// PartlyReachable reports whether a service that is not reachable has upstreams that are.
+	PartlyReachable(service string) bool
 	// ReportFailure records that a connection to an upstream has failed.
 	ReportFailure(service string, address netip.AddrPort)
 }
@@ -213,8 +215,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
 	defer cancel()
-	if x.unreachable() {
-		x.serveElsewhere(ctx)
+	if x.unreachable() && x.serveElsewhere(ctx) {
 		return
 	}
 	if refusal := x.findSoftware(ctx); refusal != nil {
@@ -228,8 +229,7 @@
 	defer x.settle()
 	defer x.endPermit()
 	refusal := x.runAttempts(ctx)
-	if refusal != nil && (refusal.Reason == refuser.NoUpstream || refusal.Reason == refuser.UpstreamFailed) && x.unreachable() {
-		x.serveElsewhere(ctx)
+	if refusal != nil && (refusal.Reason == refuser.NoUpstream || refusal.Reason == refuser.UpstreamFailed) && x.unreachable() && x.serveElsewhere(ctx) {
 		return
 	}
 	if refusal != nil {
