forwarder: a partition from the upstreams is no crash of theirs

Cause: an upstream counts as crashed if its connection is lost and no other can be opened; behind a partition both hold for all of them. Class: a verdict about a peer from one's own silence. Ruled out: the notices of other daemons; the quarantining daemon had logged the crashes itself. Change: a crash is attributed only if another upstream of the service accepts a connection, or there is no other. Before: TestPartitionFromUpstreamsIsNoCrash quarantines after three lost connections; after: nothing is suspected there, and where the others are reachable it still is.

--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -202,3 +202,28 @@
 		require.True(t, m.Reachable("drafts"))
 	})
 }
+
+// Whether an upstream has crashed shows only if another one of its service is reachable.
+func TestOthersReachable(t *testing.T) {
+	tests := []struct {
+		name      string
+		count     int
+		up        int64
+		except    int
+		reachable bool
+	}{
+		{"all down", 5, 0, 4, false},
+		{"all others up", 5, 4, 4, true},
+		{"only this one is up", 5, 1, 0, false},
+		{"no others", 1, 0, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var up atomic.Int64
+			up.Store(tt.up)
+			m, upstreams := monitorOf(tt.count, &up)
+			defer m.Close()
+			require.Equal(t, tt.reachable, m.OthersReachable("drafts", upstreams[tt.except]))
+		})
+	}
+}
--- a/delegator/monitor.go
+++ b/delegator/monitor.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,9 +120,10 @@
 // group counted, a service of which a few upstreams are reachable would change its state at random.
 func (m *Monitor) probeUntilReachable(service string, s *serviceState) {
 	for {
-		accepted, probed := m.probeSome(service)
+		accepted, probed := m.probe(m.config.Upstreams(service))
 		m.mu.Lock()
-		reachable := 2*accepted > probed || accepted > 0 && !s.unreachable
+		// Without upstreams there is nothing that another daemon could reach instead.
+		reachable := 2*accepted > probed || accepted > 0 && !s.unreachable || probed == 0
 		changed := s.unreachable == reachable
 		s.unreachable, s.partly = !reachable, accepted > 0
 		if reachable {
@@ -141,13 +143,17 @@
 	}
 }
 
-// probeSome probes probeCount random upstreams and returns how many accept a connection. A service without
-// upstreams counts as reachable: there is nothing that another daemon could reach instead.
-func (m *Monitor) probeSome(service string) (accepted, probed int) {
-	upstreams := m.config.Upstreams(service)
-	if len(upstreams) == 0 {
-		return 1, 1
-	}
+// OthersReachable reports whether one of probeCount random upstreams of a service accepts a connection, not
+// counting the given one. It is true if there are no others.
+func (m *Monitor) OthersReachable(service string, except netip.AddrPort) bool {
+	others := slices.DeleteFunc(m.config.Upstreams(service), func(a netip.AddrPort) bool { return a == except })
+	accepted, probed := m.probe(others)
+	return accepted > 0 || probed == 0
+}
+
+// probe probes probeCount random upstreams, or all if there are fewer, and returns how many accept a
+// connection.
+func (m *Monitor) probe(upstreams []netip.AddrPort) (accepted, probed int) {
 	ctx, cancel := context.WithTimeout(m.ctx, probeTimeout)
 	defer cancel()
 	count := min(probeCount, len(upstreams))
--- a/forwarder/delegation_test.go
+++ b/forwarder/delegation_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -39,9 +40,10 @@
 	partly       bool
 }
 
-func (r *reachability) Reachable(string) bool                { return r.failuresLeft > 0 }
-func (r *reachability) PartlyReachable(string) bool          { return r.partly }
-func (r *reachability) ReportFailure(string, netip.AddrPort) { r.failuresLeft-- }
+func (r *reachability) Reachable(string) bool                       { return r.failuresLeft > 0 }
+func (r *reachability) OthersReachable(string, netip.AddrPort) bool { return r.partly }
+func (r *reachability) PartlyReachable(string) bool                 { return r.partly }
+func (r *reachability) ReportFailure(string, netip.AddrPort)        { r.failuresLeft-- }
 
 // unreachableUpstreams accept no connection, or lose the response.
 type unreachableUpstreams struct {
@@ -120,3 +122,24 @@
 		})
 	}
 }
+
+// A daemon that is partitioned from the upstreams loses connections to all of them and can open none, as if
+// they had crashed. The requests that ran there must not be blamed: other daemons would refuse them.
+func TestPartitionFromUpstreamsIsNoCrash(t *testing.T) {
+	for _, othersReachable := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeUpstreams(t, fakeResponse{err: failureAfterWrite})
+			s.probeFails = true
+			f := s.forwarder()
+			f.config.Reachability = &reachability{failuresLeft: 100, partly: othersReachable}
+			for range 5 {
+				f.Serve(t.Context(), httptest.NewRecorder(), &Request{
+					ID: "1", Method: "POST", Host: "a.example", Path: "/once/", Target: "/once/", Header: http.Header{}, Key: "key",
+					Body: strings.NewReader("x"), Length: 1, CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(),
+				})
+				synctest.Wait()
+			}
+			require.Equal(t, !othersReachable, s.quarantine.Empty())
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -132,6 +132,9 @@
 	Reachable(service string) bool
 	// PartlyReachable reports whether a service that is not reachable has upstreams that are.
 	PartlyReachable(service string) bool
+	// OthersReachable reports whether another upstream of the service accepts a connection now, or
+	// there is no other.
+	OthersReachable(service string, except netip.AddrPort) bool
 	// ReportFailure records that a connection to an upstream has failed.
 	ReportFailure(service string, address netip.AddrPort)
 }
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -139,9 +139,10 @@
 
 // reportCrash probes an upstream that lost its connection while it executed the request,
 // after a number of events. If the upstream accepts no connection, the crash is attributed
-// to the request, and to the parts of its prompt unless they have been served.
+// to the request, and to the parts of its prompt unless they have been served. If the others of its service
+// accept none either, it is this daemon that has lost its connections.
 func (x *exchange) reportCrash(upstream registrar.Upstream, events int64) {
-	digest, config, id := x.digest(), x.forwarder.config, x.request.ID
+	digest, config, id, service := x.digest(), x.forwarder.config, x.request.ID, x.service.Name
 	parts, partIDs := x.sharedParts(), x.partIDs()
 	if x.served {
 		parts = nil
@@ -153,6 +154,10 @@
 		if err == nil {
 			return
 		}
+		if config.Reachability != nil && !config.Reachability.OthersReachable(string(service), upstream.Address) {
+			config.Recorder.Count("crash_not_attributed", 1)
+			return
+		}
 		config.Recorder.Event(recorder.UpstreamCrashed, "id", id, "upstream", upstream.Name, "digest", digest,
 			"events", events, "suspected", len(parts) > 0, "parts", partIDs, "err", err)
 		now := time.Now()
