throttler, balancer: brittle upstreams get few requests that they may reject

Cause: the header was not read, and a full upstream was noticed only by its rejections, by each daemon for itself. Ruled out: pauses alone; all daemons have requests pending at an upstream when it gets full, and one rejection each is too much in a large fleet. Change: while a service is brittle, a request goes only to an upstream with a free slot as far as known, a daemon has few pending requests at each, pauses one that has rejected a request, and in fleets of more than 16 daemons few of them send to each upstream.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -21,6 +21,9 @@
 // Upstreams that state a request limit (package throttler) get no request that would exceed
 // it, even if all others are ejected.
 //
+// Brittle upstreams, which fail when they have to reject many requests, get only requests for which
+// they have a slot, and few at a time that they have not accepted yet.
+//
 // Upstreams that fail are ejected for a time that doubles with each consecutive failure. If
 // more than half of a service would be ejected, all its upstreams are used again, because a
 // fault that all of them show must not leave the service without upstreams.
@@ -152,6 +155,9 @@
 	Take(now time.Time, id throttler.ID) bool
 	IsStale(now time.Time, id throttler.ID) bool
 	RetryAfter(now time.Time, ids iter.Seq[throttler.ID]) time.Duration
+	// MaxPending limits the requests of this daemon that an upstream has not accepted yet. Zero means
+	// no limit, a negative number that this daemon sends it none.
+	MaxPending(now time.Time, service string, upstreams int, id throttler.ID, freeSlots int) int
 }
 
 // Config holds what a Balancer needs.
@@ -178,6 +184,8 @@
 	limitID     throttler.ID
 	startedAtMs int64
 	inFlight    int
+	// pending is the number of requests whose response has not started.
+	pending int
 	// prefill is the prefill time of the requests whose response has not started.
 	prefill time.Duration
 	// parts holds the time at which each part was last sent to the upstream.
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -48,6 +48,7 @@
 // begin counts a request at an upstream.
 func (b *Balancer) begin(now time.Time, s *upstreamState, q Query, prefill time.Duration) {
 	s.inFlight++
+	s.pending++
 	s.prefill += prefill
 	if !s.ejectedUntil.IsZero() {
 		s.trial = true
@@ -91,7 +92,12 @@
 		if !b.config.Limits.Allows(now, s.limitID) {
 			continue
 		}
-		c := candidate{upstream: u, state: s, requests: s.requests(now), staleLimit: b.config.Limits.IsStale(now, s.limitID)}
+		requests := s.requests(now)
+		freeSlots := max(u.Slots-int(requests), 0)
+		if limit := b.config.Limits.MaxPending(now, string(u.Service), len(q.Candidates), s.limitID, freeSlots); limit != 0 && (s.pending >= limit || requests >= float64(u.Slots)) {
+			continue
+		}
+		c := candidate{upstream: u, state: s, requests: requests, staleLimit: b.config.Limits.IsStale(now, s.limitID)}
 		if s.isEjected(now) {
 			c.staleLimit = false
 			ejected = append(ejected, c)
@@ -210,6 +216,7 @@
 	defer b.mu.Unlock()
 	if s := b.stateOf(c); s != nil && !c.started {
 		s.prefill = max(s.prefill-c.prefill, 0)
+		s.pending = max(s.pending-1, 0)
 	}
 	c.started = true
 }
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -68,6 +68,8 @@
 	RetryAfter time.Duration
 	// RequestLimit is the request limit that the upstream states.
 	RequestLimit throttler.Limit
+	// Rejections is how many requests the upstream states that it can reject.
+	Rejections throttler.Rejections
 }
 
 // Call is one request to an upstream.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -173,7 +173,9 @@
 	r := throttler.Response{
 		Upstream: string(u.Name), SentAt: sentAt, ReceivedAt: time.Now(), Retry: x.sends > 0, Limit: response.Metadata.RequestLimit,
 	}
+	r.Service, r.Rejections = string(u.Service), response.Metadata.Rejections
 	if response.Status == http.StatusServiceUnavailable {
+		r.Rejected = response.Metadata.NotRun
 		r.Pause = response.Metadata.RetryAfter
 	}
 	x.forwarder.config.Limits.Record(u.LimitID(), r)
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -39,6 +39,9 @@
 	EntrySkipped Code = 2303
 	// UpstreamLeaving is logged when an upstream states in a response that it leaves.
 	UpstreamLeaving Code = 2304
+	// ServiceBrittle is logged when an upstream states how many requests it can reject, for the first
+	// time or another number than before.
+	ServiceBrittle Code = 2005
 	// ServiceReachability is logged when this daemon reaches no upstream of a service any more, or
 	// one again.
 	ServiceReachability Code = 2305
@@ -86,6 +89,7 @@
 	EntrySkipped:        "entry_skipped",
 	UpstreamLeaving:     "upstream_leaving",
 	ServiceReachability: "service_reachability",
+	ServiceBrittle:      "service_brittle",
 	RequestRefused:      "request_refused",
 	AttemptFailed:       "attempt_failed",
 	AnswerBroken:        "answer_broken",
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -3,6 +3,10 @@
 // An upstream that rejects a request may ask for a pause, a time in which this daemon sends it no further
 // requests.
 //
+// At times the upstreams of a service are brittle: they state how many requests a second they can
+// reject for lack of capacity, and fail when they have to reject more. Each daemon then has few requests
+// at each of them that are not accepted yet, and pauses one that has rejected a request.
+//
 // An overloaded upstream states in its responses how many requests per second it accepts from
 // all daemons together. The limit applies from then on until a response without one.
 // Responses can overtake each other: one without a limit, or with a higher one, counts only
@@ -95,6 +99,11 @@
 	// Pause is how long the daemon sends the upstream no request. Zero means that it states
 	// none.
 	Pause time.Duration
+	// Service is the service of the upstream, Rejected is true if the upstream had no capacity for
+	// the request, and Rejections says how many rejections it bears.
+	Service    string
+	Rejected   bool
+	Rejections Rejections
 }
 
 // Config holds what a Throttler needs.
@@ -124,6 +133,10 @@
 	// pauses has the end of the pause of each upstream.
 	pauses  map[ID]time.Time
 	members members
+	// brittle has the services whose upstreams are brittle. brittleServices is their number.
+	brittle         map[string]brittleness
+	brittleServices atomic.Int64
+	brittleSenders  map[ID]brittleSender
 }
 
 // state is the limit of one upstream and the share of this daemon.
@@ -150,11 +163,12 @@
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
-	return &Throttler{config: c, limits: make(map[ID]*state), pauses: make(map[ID]time.Time)}
+	return &Throttler{config: c, limits: make(map[ID]*state), pauses: make(map[ID]time.Time), brittle: make(map[string]brittleness), brittleSenders: make(map[ID]brittleSender)}
 }
 
 // Record records what a response says about the limit of its upstream.
 func (t *Throttler) Record(id ID, r Response) {
+	t.recordBrittle(id, r)
 	if !r.Limit.Stated && r.Pause <= 0 && t.restricted.Load() == 0 {
 		return
 	}
@@ -372,4 +386,5 @@
 	for id := range t.pauses {
 		t.isPaused(now, id) // deletes a pause that has ended
 	}
+	clear(t.brittleSenders)
 }
