launcher, registrar: quarantines and software versions are stored again after a restore of the store

Shown by tests only. Cause: both are written once, when they are found; a store that is restored from an older copy lost them, and a fleet that restarted as a whole then let a part crash upstreams again, or took a service for one with a single version. Change: when the era changes, the two daemons that store the history do so again, and the quarantines. Before: TestQuarantineOutlivesARestoredStore finds none after 20 s; after: it passes. TestHistoryIsStoredAgainAfterARestore.

--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -274,6 +274,23 @@
 	require.Len(t, f.model.Crashes(), crashes)
 }
 
+// A store that is restored from an older copy has lost a quarantine. A fleet that restarts then must not let
+// the part crash upstreams again.
+func TestQuarantineOutlivesARestoredStore(t *testing.T) {
+	f := newFixture(t)
+	content := f.store.Copy()
+	refused := f.crashUpstream(func() string { return "/drafts/crash" })
+	require.Eventually(t, func() bool { return len(f.store.Keys("quarantine/")) > 0 }, time.Minute, 10*time.Millisecond)
+	f.store.Restore(content)
+	require.Eventually(t, func() bool { return len(f.store.Keys("quarantine/")) > 0 }, 20*time.Second, 10*time.Millisecond)
+	f.restartDaemon()
+	crashes := len(f.model.Crashes())
+	for range 5 {
+		require.True(t, refused())
+	}
+	require.Len(t, f.model.Crashes(), crashes)
+}
+
 // A new version of the configuration takes effect while the daemon runs. A malformed or an
 // older one in the store must not displace it.
 func TestConfigurationChangesTakeEffectAndBadOnesAreSkipped(t *testing.T) {
--- a/launcher/quarantine.go
+++ b/launcher/quarantine.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// storeQuarantinesAgain stores what is quarantined in a store that was restored from an older copy.
+func (d *Daemon) storeQuarantinesAgain() {
+	if !d.writesSoftware() {
+		return
+	}
+	for _, r := range d.quarantiner.Records() {
+		if len(r.CrashedUpstreams) >= maxCrashes && !r.Cleared {
+			d.storeQuarantine(r.Digest)
+		}
+	}
+}
+
 // storeQuarantine stores a record in the background.
 func (d *Daemon) storeQuarantine(digest quarantiner.Digest) {
 	go func() {
--- a/launcher/software.go
+++ b/launcher/software.go
@@ -22,11 +22,18 @@
 	softwareWriters = 2
 )
 
-// keepSoftware loads the software history once, and then stores changes, until ctx ends.
+// keepSoftware loads the software history once, and then stores changes, until ctx ends. When the store was
+// restored from an older copy, it stores the history and the quarantines again.
 func (d *Daemon) keepSoftware(ctx context.Context) {
 	store := &registrar.SoftwareStore{Store: d.store, Registrar: d.registrar, Timeout: softwareTimeout}
 	loaded := false
+	era := d.store.Era()
 	for {
+		if current := d.store.Era(); current != era {
+			era = current
+			store.Forget()
+			d.storeQuarantinesAgain()
+		}
 		var err error
 		switch {
 		case !loaded:
--- a/registrar/software_store.go
+++ b/registrar/software_store.go
@@ -56,6 +56,10 @@
 	return nil
 }
 
+// Forget makes the next Save compare the history with the stored one, which may be lost: the store was
+// restored from an older copy.
+func (s *SoftwareStore) Forget() { s.saved = nil }
+
 func (s *SoftwareStore) read(ctx context.Context) (SoftwareHistory, contractor.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
--- a/registrar/software_test.go
+++ b/registrar/software_test.go
@@ -113,6 +113,21 @@
 	require.Equal(t, []string{"v2"}, versions)
 }
 
+// A store that is restored from an older copy has lost a version that the daemons have stored.
+func TestHistoryIsStoredAgainAfterARestore(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	r := newSoftwareRegistrar(&now)
+	s := &SoftwareStore{Store: store, Registrar: r, Timeout: time.Second}
+	content := store.Copy()
+	r.Apply(change("a", "v1"))
+	require.NoError(t, s.Save(t.Context()))
+	store.Restore(content)
+	s.Forget()
+	require.NoError(t, s.Save(t.Context()))
+	require.NotZero(t, store.Peek(softwareKey).Revision)
+}
+
 // Without the store nothing is known about the time before the start.
 func TestHistoryIsIncompleteWithoutStore(t *testing.T) {
 	store := emulator.NewStore(emulator.StoreConfig{})
