connector, launcher: an upstream that is silent for a second keeps its requests

Cause: bytes that stayed unacknowledged for 1 s ended a connection, and with it a request that may have run. Change: 1.9 s instead, which the second keep-alive probe after 2 s finds exceeded; streams at an upstream that is gone still end after 2 s. TestDialerSetsTimeoutsForSilentPeer also checks the first probe.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -364,4 +364,5 @@
 	require.Equal(t, 1, option(syscall.SOL_SOCKET, syscall.SO_KEEPALIVE))
 	require.Equal(t, 2, option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT))
 	require.Equal(t, 1, option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL), "in s")
+	require.Equal(t, 1, option(syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE), "in s")
 }
--- a/connector/response.go
+++ b/connector/response.go
@@ -216,14 +216,14 @@
 }
 
 // Dialer returns a function that opens connections within connectTimeout. A connection fails
-// if sent bytes stay unacknowledged for silenceTimeout, or if the peer does not respond to
-// two keep-alive probes, which are sent at intervals of 1 s after a silence of
-// silenceTimeout, at least 1 s. This takes about three times silenceTimeout.
+// if sent bytes stay unacknowledged for silenceTimeout, or if the peer stays silent for it:
+// keep-alive probes are sent after 1 s and then each second, and with TCP_USER_TIMEOUT the
+// first one that finds the silence that long ends the connection, whatever the number of probes.
 func Dialer(connectTimeout, silenceTimeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
 	d := &net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: max(silenceTimeout, time.Second), Interval: time.Second, Count: 2,
+			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 		},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var optionErr error
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -111,9 +111,10 @@
 	// connectTimeout is for connections to upstreams. It covers a few round trips
 	// between zones, which take several milliseconds each.
 	connectTimeout = 400 * time.Millisecond
-	// unacknowledgedTimeout fails a connection whose sent bytes stay unacknowledged. It
-	// covers three retransmissions.
-	unacknowledgedTimeout = time.Second
+	// unacknowledgedTimeout fails a connection whose peer is silent. Sound upstreams fall silent
+	// for a second or so, and callers give a silent stream up after about 2.4 s. The second
+	// keep-alive probe, after 2 s, has to find it exceeded.
+	unacknowledgedTimeout = 1900 * time.Millisecond
 	// maintenanceInterval is the time between two clean-ups of idle connections and expired
 	// entries.
 	maintenanceInterval = 250 * time.Millisecond
