delegator: only a daemon's own refusal declines a request

Found by reading the change: a response of an upstream with a header named Declined would have passed for a daemon that has not run the request, which would then have been sent to another one (TWICE). No run has shown it. Change: the header is kept out of all responses but those of Decline. Before, TestOnlyDaemonsDecline gets an error and sends the request again; after, it passes. Also from reading: the monitor works on a copy of the list of upstreams.

--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -95,6 +95,20 @@
 	require.LessOrEqual(t, declinedRequests.Load(), int64(1+8), "a daemon that has declined is tried last for a while")
 }
 
+// An upstream may send a header of the name with which daemons decline. Its request has run, and must not be
+// sent to another daemon.
+func TestOnlyDaemonsDecline(t *testing.T) {
+	address, requests := peer(t, func(w http.ResponseWriter, _ *Request) {
+		w.Header().Set(declinedHeader, "1")
+		_, _ = io.WriteString(w, "done")
+	})
+	response, err := clientOf(address).Send(t.Context(), &Request{ID: "1", TimeRemaining: time.Minute})
+	require.NoError(t, err)
+	response.Body.Close()
+	require.Empty(t, response.Header.Get(declinedHeader))
+	require.Equal(t, int64(1), requests.Load())
+}
+
 // A malformed request must not run, and must not end the caller's: another daemon may understand it.
 func TestMalformedRequestIsDeclined(t *testing.T) {
 	address, requests := peer(t, decline)
--- a/delegator/monitor.go
+++ b/delegator/monitor.go
@@ -146,7 +146,7 @@
 // OthersReachable reports whether one of probeCount random upstreams of a service accepts a connection, not
 // counting the given one. It is true if there are no others.
 func (m *Monitor) OthersReachable(service string, except netip.AddrPort) bool {
-	others := slices.DeleteFunc(m.config.Upstreams(service), func(a netip.AddrPort) bool { return a == except })
+	others := slices.DeleteFunc(slices.Clone(m.config.Upstreams(service)), func(a netip.AddrPort) bool { return a == except })
 	accepted, probed := m.probe(others)
 	return accepted > 0 || probed == 0
 }
--- a/delegator/serve.go
+++ b/delegator/serve.go
@@ -34,16 +34,45 @@
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		request, err := readRequest(r)
 		if err != nil {
-			Decline(w)
+			Decline(&responseWriter{ResponseWriter: w})
 			return
 		}
-		serve(w, r, request)
+		serve(&responseWriter{ResponseWriter: w}, r, request)
 	})
 	return mux
 }
 
-// Decline responds that the request has not run here, and that another daemon may run it.
+// responseWriter keeps the header that declines a request out of all other responses. An upstream may send
+// a header of that name, and its request has run.
+type responseWriter struct {
+	http.ResponseWriter
+	declined, begun bool
+}
+
+func (w *responseWriter) WriteHeader(status int) {
+	if !w.declined {
+		w.Header().Del(declinedHeader)
+	}
+	w.begun = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *responseWriter) Write(b []byte) (int, error) {
+	if !w.begun {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Decline responds that the request has not run here, and that another daemon may run it. The writer is that
+// which Handler has passed on.
 func Decline(w http.ResponseWriter) {
+	if own, ok := w.(*responseWriter); ok {
+		own.declined = true
+	}
 	w.Header().Set(declinedHeader, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
