apportioner: what a lost predecessor may hold stays withheld in later eras

Found by reading the change: an incarnation that had taken over a row of an earlier era, and whose entry among the unconfirmed was lost in the next restore, entered itself anew and removed that entry in the same write. Change: such an incarnation never removes it.

--- a/apportioner/restore.go
+++ b/apportioner/restore.go
@@ -63,7 +63,7 @@
 	p.pool = state.pool.clone()
 	a.updateEra(&p.pool)
 	a.planMembership(p)
-	if since, ok := p.pool.Unconfirmed[a.config.Name]; ok && state.era < since {
+	if since, ok := p.pool.Unconfirmed[a.config.Name]; ok && state.era < since && !state.predecessorLost {
 		delete(p.pool.Unconfirmed, a.config.Name)
 	}
 	p.row.Incarnation, p.row.Era = a.config.Incarnation, state.storeEra
@@ -109,7 +109,9 @@
 		p.addUnconfirmed(vm)
 	}
 	for name := range prepaid {
-		p.Accounts[name] = p.Accounts[name] // a new account may have been granted since the copy
+		if _, ok := p.Accounts[name]; !ok {
+			p.Accounts[name] = sums{} // a new account may have been granted since the copy
+		}
 	}
 	for name, s := range p.Accounts {
 		s.Prepaid = max(s.Prepaid, prepaid[name])
