launcher: one place for the addresses on internal ports

Found by reading: transfers, messages about streams and delegated requests each computed their address and those of their peers. No change of behaviour; the tests of the package pass.

--- a/launcher/delegate.go
+++ b/launcher/delegate.go
@@ -17,31 +17,12 @@
 	"laburnumline/resolver"
 )
 
-// delegatePortOffset is the number of the internal port for delegated requests, from the first one. The
-// port is the same on all VMs.
-const delegatePortOffset = 3
-
 // delegateAddress returns the address for requests that other daemons delegate. The zero value means
 // that there are none.
-func (s Settings) delegateAddress() netip.AddrPort {
-	if !s.InternalAddress.IsValid() || s.LastInternalPort < s.InternalAddress.Port()+delegatePortOffset {
-		return netip.AddrPort{}
-	}
-	return netip.AddrPortFrom(s.InternalAddress.Addr(), s.InternalAddress.Port()+delegatePortOffset)
-}
+func (s Settings) delegateAddress() netip.AddrPort { return s.internalAddress(delegatePortOffset) }
 
 // delegatePeers returns the addresses at which the other daemons serve delegated requests.
-func (d *Daemon) delegatePeers() []netip.AddrPort {
-	own := d.config.Settings.delegateAddress()
-	if !own.IsValid() {
-		return nil
-	}
-	peers := d.shares.Peers()
-	for i, a := range peers {
-		peers[i] = netip.AddrPortFrom(a.Addr(), own.Port())
-	}
-	return peers
-}
+func (d *Daemon) delegatePeers() []netip.AddrPort { return d.peersAt(delegatePortOffset) }
 
 // upstreamAddresses returns the addresses of the upstreams of a service.
 func (d *Daemon) upstreamAddresses(service string) []netip.AddrPort {
--- a/launcher/stream.go
+++ b/launcher/stream.go
@@ -9,31 +9,12 @@
 	"laburnumline/recorder"
 )
 
-// streamPortOffset is the number of the internal port for messages about streams, from the first
-// one. The port is the same on all VMs.
-const streamPortOffset = 2
-
 // streamAddress returns the address for messages about streams between daemons. The zero value
 // means that there are none.
-func (s Settings) streamAddress() netip.AddrPort {
-	if !s.InternalAddress.IsValid() || s.LastInternalPort < s.InternalAddress.Port()+streamPortOffset {
-		return netip.AddrPort{}
-	}
-	return netip.AddrPortFrom(s.InternalAddress.Addr(), s.InternalAddress.Port()+streamPortOffset)
-}
+func (s Settings) streamAddress() netip.AddrPort { return s.internalAddress(streamPortOffset) }
 
 // streamPeers returns the addresses of the other daemons for messages about streams.
-func (d *Daemon) streamPeers() []netip.AddrPort {
-	own := d.config.Settings.streamAddress()
-	if !own.IsValid() {
-		return nil
-	}
-	peers := d.shares.Peers()
-	for i, a := range peers {
-		peers[i] = netip.AddrPortFrom(a.Addr(), own.Port())
-	}
-	return peers
-}
+func (d *Daemon) streamPeers() []netip.AddrPort { return d.peersAt(streamPortOffset) }
 
 // serveStreams receives messages about streams until ctx ends.
 func (d *Daemon) serveStreams(ctx context.Context) error {
--- a/launcher/transfer.go
+++ b/launcher/transfer.go
@@ -12,12 +12,7 @@
 // transferAddress returns the address for transfers of tokens between daemons. Its port is
 // the second internal one, which is the same on all VMs. The zero value means that there are
 // no transfers.
-func (s Settings) transferAddress() netip.AddrPort {
-	if !s.InternalAddress.IsValid() || s.LastInternalPort <= s.InternalAddress.Port() {
-		return netip.AddrPort{}
-	}
-	return netip.AddrPortFrom(s.InternalAddress.Addr(), s.InternalAddress.Port()+1)
-}
+func (s Settings) transferAddress() netip.AddrPort { return s.internalAddress(transferPortOffset) }
 
 // serveTransfers serves other daemons that request tokens, until ctx ends.
 func (d *Daemon) serveTransfers(ctx context.Context) error {
