delegator, forwarder: executions count across daemons

Cause: the other daemon did not know of the executions. Change: they are sent along and count there, for the attempts and for what a refusal says. Before: the new cases of TestRequestIsServedByAnotherDaemon get a second execution, and a request that has run elsewhere is not declined; after, they pass.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -72,9 +72,11 @@
 	TimeRemaining                 time.Duration `cbor:"time"`
 	PromptTokens, MaxOutputTokens int64
 	Parts                         []Part `cbor:"parts"`
-	ResumeAfter                   string `cbor:"after"`
-	Resumes                       string `cbor:"resumes"`
-	Body                          []byte `cbor:"-"` // follows the encoded fields
+	// Executions is how many upstreams may have run the request already.
+	Executions  int    `cbor:"executions"`
+	ResumeAfter string `cbor:"after"`
+	Resumes     string `cbor:"resumes"`
+	Body        []byte `cbor:"-"` // follows the encoded fields
 }
 
 // Part is a part of a prompt.
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -40,7 +40,7 @@
 func TestRequestArrivesUnchanged(t *testing.T) {
 	sent := &Request{
 		ID: "9c41", Method: "POST", Host: "a.example", Target: "/drafts/1?x=%2F", Header: http.Header{"X-A": {"1", "2"}}, Key: "k1",
-		TimeRemaining: time.Second, PromptTokens: 100, MaxOutputTokens: 50, Parts: []Part{{ID: 1 << 63, Tokens: 60}}, ResumeAfter: "7", Resumes: "9c40",
+		TimeRemaining: time.Second, PromptTokens: 100, MaxOutputTokens: 50, Parts: []Part{{ID: 1 << 63, Tokens: 60}}, ResumeAfter: "7", Resumes: "9c40", Executions: 1,
 		Body: []byte("\x00body"),
 	}
 	var got *Request
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -34,7 +34,7 @@
 	// The other daemon reserves the tokens.
 	x.reservation.Release()
 	x.reservation = nil
-	if x.request.Delegated && x.executions == 0 {
+	if x.request.Delegated && x.executions == x.request.Executions {
 		x.forwarder.config.Recorder.Count("delegator.declined", 1)
 		delegator.Decline(x.writer)
 		return true
@@ -79,7 +79,7 @@
 	r := x.request
 	d := &delegator.Request{
 		ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Key: r.Key, TimeRemaining: time.Until(x.deadline),
-		PromptTokens: int64(r.PromptTokens), MaxOutputTokens: int64(r.MaxOutputTokens), ResumeAfter: r.ResumeAfter, Resumes: r.Resumes, Body: x.body,
+		PromptTokens: int64(r.PromptTokens), MaxOutputTokens: int64(r.MaxOutputTokens), Executions: x.executions, ResumeAfter: r.ResumeAfter, Resumes: r.Resumes, Body: x.body,
 	}
 	for _, p := range r.PromptParts {
 		d.Parts = append(d.Parts, delegator.Part{ID: p.ID, Tokens: p.Tokens})
--- a/forwarder/delegation_test.go
+++ b/forwarder/delegation_test.go
@@ -75,7 +75,9 @@
 		failures     int  // until the service counts as unreachable
 		written      bool // the upstreams lose the response
 		delegated    bool
+		declined     bool
 		partly       bool
+		executions   int // at the daemon that has delegated the request
 		other        otherDaemon
 		status       int
 		body         string
@@ -93,7 +95,9 @@
 		{name: "may have run here", path: "/once/", failures: 1, written: true, status: 502, direct: 1},
 		{name: "stream breaks off", path: "/stream/", other: otherDaemon{response: respondWith(200, stream, io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2"), iotest.ErrReader(io.ErrUnexpectedEOF)))}, aborted: true, body: "id: 1\ndata: a\n\n", status: 200, sent: 1},
 		{name: "body breaks off", path: "/once/", other: otherDaemon{response: respondWith(200, signed, io.MultiReader(strings.NewReader("do"), iotest.ErrReader(io.ErrUnexpectedEOF)))}, status: 502, sent: 1},
-		{name: "delegated to this one", path: "/once/", delegated: true, status: 503},
+		{name: "delegated to this one", path: "/once/", delegated: true, status: 503, declined: true},
+		{name: "delegated after an execution", path: "/again/", delegated: true, executions: 1, status: 503, declined: true},
+		{name: "delegated, with one execution left", path: "/again/", delegated: true, executions: 1, failures: 100, written: true, status: 502, direct: 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -105,7 +109,7 @@
 			serve := func() {
 				New(config).Serve(t.Context(), w, &Request{
 					ID: "1", Method: "POST", Host: "a.example", Path: tt.path, Target: tt.path, Header: http.Header{}, Key: "key",
-					Body: strings.NewReader("x"), Length: 1, CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(), Delegated: tt.delegated,
+					Body: strings.NewReader("x"), Length: 1, CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(), Delegated: tt.delegated, Executions: tt.executions,
 				})
 			}
 			if tt.aborted {
@@ -120,7 +124,7 @@
 			require.False(t, tt.status == 502 && w.Header().Get("Retry-After") != "", "a time to come back promises that it has not run")
 			require.Len(t, tt.other.requests, tt.sent)
 			require.Equal(t, tt.direct, upstreams.sends)
-			require.Equal(t, tt.delegated, w.Header().Get("Declined") != "", "a daemon declines what was delegated to it, and nothing else")
+			require.Equal(t, tt.declined, w.Header().Get("Declined") != "", "a daemon declines what was delegated to it, and nothing else")
 		})
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -70,8 +70,9 @@
 	ResumeAfter string
 	// Resumes is the ID of the caller's attempt that received the first event of that stream.
 	Resumes string
-	// Delegated is true if another daemon has sent the request.
-	Delegated bool
+	// Delegated is true if another daemon has sent the request, after Executions upstreams may have run it.
+	Delegated  bool
+	Executions int
 }
 
 // Metadata is what the daemon sends to an upstream about a request, in its headers.
@@ -211,7 +212,7 @@
 // Serve forwards one request and writes the response or the refusal to w. It panics with
 // http.ErrAbortHandler if the response fails after a part of it was written.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
-	x := &exchange{forwarder: f, request: r, writer: w}
+	x := &exchange{forwarder: f, request: r, writer: w, sends: r.Executions, executions: r.Executions}
 	if refusal := x.prepare(ctx); refusal != nil {
 		x.writeRefusal(refusal)
 		return
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -24,6 +24,8 @@
 	{seed: 102, cause: "truncated streams with neither a length nor chunks passed for complete; a request that had run was refused as not run when a part of its prompt was quarantined"},
 	{seed: 104, cause: "as seed 102"},
 	{seed: 105, cause: "as seed 102; and the emulated upstream ignored where a stream resumes"},
+	{seed: 7016, cause: "as seed 7125"},
+	{seed: 7114, cause: "as seed 7125"},
 	{seed: 7125, cause: "a request that had run was delegated, and the other daemon's refusal as not run was passed on"},
 }
 
