relayer, replicator: pause direct calls while the store fails

Cause: in a fleet with relays, each call that a relay could not answer went to the store directly, also while the store did not respond.

Change: after a second of failures a daemon calls the store itself about every 0.75 s; other calls fail at once. A watch of a paused daemon begins at the relay, and continues at its revision when the keys cannot be read again. Fleets without relays are unchanged.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -206,6 +206,7 @@
 	d.configurationReplicator = replicator.New(replicator.Config{
 		Store: d.store, Prefix: c.Adapter.ConfigurationPrefix, Recorder: rec,
 		Handler: &configurationHandler{daemon: d}, ReloadWhenBehind: true,
+		HasRelay: func() bool { return len(d.shares.Relays()) > 0 },
 	})
 	d.upstreamReplicator = replicator.New(replicator.Config{
 		Store: d.store, Prefix: c.Adapter.UpstreamPrefix, Recorder: rec, Handler: d.registrar,
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -10,6 +10,9 @@
 // is sent again, directly to the store. Both copies compare the same revisions and write the
 // compared keys, so at most one of them takes effect.
 //
+// While the store itself does not respond, a daemon calls it about once a second; its other calls fail
+// at once unless a relay answers them.
+//
 //	store := relayer.New(relayer.Config{Direct: platformStore, Combiner: c, Relays: relays, Self: address})
 //	mux.Handle(relayer.Path, relayer.Handler(c))
 package relayer
@@ -17,6 +20,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -77,8 +82,12 @@
 	backoffs map[netip.AddrPort]backoff
 	// sessions are cancelled when their relay fails, which ends the polls in flight there.
 	sessions map[netip.AddrPort]relaySession
-	// directFailing is true if the last call to the store itself failed.
-	directFailing bool
+	// directFailing is true if the last call to the store itself failed, directFailingSince is when the
+	// first one of an uninterrupted series failed. Until directAfter no further one is made in a fleet
+	// with relays.
+	directFailing      bool
+	directFailingSince time.Time
+	directAfter        time.Time
 }
 
 // relaySession is the period from the first poll at a relay to the relay's next failure.
@@ -110,12 +119,22 @@
 
 // Get reads one key directly from the store.
 func (s *Store) Get(ctx context.Context, key string) (persister.Entry, error) {
-	return s.config.Direct.Get(ctx, key)
+	if !s.allowDirect() {
+		return persister.Entry{}, errDirectPaused
+	}
+	entry, err := s.config.Direct.Get(ctx, key)
+	s.recordDirectResult(ctx, err)
+	return entry, err
 }
 
 // Range reads keys directly from the store.
 func (s *Store) Range(ctx context.Context, prefix, after string, limit int) (persister.Page, error) {
-	return s.config.Direct.Range(ctx, prefix, after, limit)
+	if !s.allowDirect() {
+		return persister.Page{}, errDirectPaused
+	}
+	page, err := s.config.Direct.Range(ctx, prefix, after, limit)
+	s.recordDirectResult(ctx, err)
+	return page, err
 }
 
 // Era returns the era of the store that this daemon's own client has seen last, or zero.
@@ -142,6 +161,7 @@
 // may be sent twice, each put has to be of a key that txn compares, or of a key that can be
 // written twice without harm, such as a lock of this incarnation.
 func (s *Store) CommitMerged(ctx context.Context, txn persister.Txn) (contractor.Revision, []persister.Entry, error) {
+	relayErr := error(nil)
 	relay, ok := s.selectRelay()
 	switch {
 	case !ok:
@@ -155,6 +175,14 @@
 		if ctx.Err() != nil || s.recordResult(relay, err) {
 			return response.Revision, response.Merged, err
 		}
+		relayErr = err
+	}
+	if !s.allowDirect() {
+		// The outcome at the relay counts: it may have committed the transaction.
+		if relayErr == nil {
+			relayErr = errDirectPaused
+		}
+		return 0, nil, relayErr
 	}
 	revision, err := s.config.Direct.Commit(ctx, txn)
 	s.recordDirectResult(ctx, err)
@@ -178,6 +206,9 @@
 			return response.ID, err
 		}
 	}
+	if !s.allowDirect() {
+		return 0, errDirectPaused
+	}
 	id, err := s.config.Direct.GrantLease(ctx, ttl)
 	s.recordDirectResult(ctx, err)
 	return id, err
@@ -186,9 +217,12 @@
 // Watch calls handle for each batch of changes under prefix after a revision. An empty batch
 // means that nothing has changed. The first poll goes directly to the store, because the
 // caller may have restarted the watch after a relay failed to report a change that other
-// daemons have seen.
+// daemons have seen. A daemon that the store refuses watches through a relay from the start.
 func (s *Store) Watch(ctx context.Context, prefix string, after contractor.Revision, handle func(persister.Batch) error) error {
 	poll := s.pollDirect
+	if s.directPaused() {
+		poll = s.poll
+	}
 	for {
 		batch, err := poll(ctx, prefix, after)
 		poll = s.poll
@@ -239,6 +273,9 @@
 
 // pollDirect returns the first batch of a watch at the store.
 func (s *Store) pollDirect(ctx context.Context, prefix string, after contractor.Revision) (persister.Batch, error) {
+	if !s.allowDirect() {
+		return persister.Batch{}, errDirectPaused
+	}
 	var got persister.Batch
 	err := s.config.Direct.Watch(ctx, prefix, after, func(b persister.Batch) error {
 		got = b
@@ -294,9 +331,54 @@
 	if s.directFailing && !failed {
 		clear(s.backoffs)
 	}
+	if failed && !s.directFailing {
+		s.directFailingSince = s.config.Now()
+	}
 	s.directFailing = failed
 }
 
+// errDirectPaused means that a call was not sent.
+var errDirectPaused = fmt.Errorf("call not sent because the last call to the store failed: %w", persister.ErrUnavailable)
+
+const (
+	// directFailureTime is how long calls to the store have to fail until they are paused. A lost response
+	// or a reset connection is no reason to wait.
+	directFailureTime = time.Second
+	// minDirectPause and maxDirectPause limit the time between two calls of a daemon to a store that does
+	// not respond. Each call is charged for, also a failed one, and all daemons of a fleet make them. The
+	// times are random, so that the daemons do not return to the store at the same moment.
+	minDirectPause = 500 * time.Millisecond
+	maxDirectPause = 1000 * time.Millisecond
+)
+
+func directPause() time.Duration { return minDirectPause + rand.N(maxDirectPause-minDirectPause) }
+
+// directPaused reports whether calls to the store itself are paused. A fleet without relays does not
+// pause: its few daemons depend on their own calls.
+func (s *Store) directPaused() bool {
+	if len(s.config.Relays()) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directFailing && s.config.Now().Before(s.directAfter)
+}
+
+// allowDirect reports whether a call to the store itself may be made now. After a failed call it
+// allows one at a time, as a circuit breaker does.
+func (s *Store) allowDirect() bool {
+	if s.directPaused() {
+		s.config.Recorder.Count("relayer.direct_paused", 1)
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := s.config.Now(); s.directFailing && now.Sub(s.directFailingSince) >= directFailureTime {
+		s.directAfter = now.Add(directPause())
+	}
+	return true
+}
+
 // recordResult reports whether the result of a call to a relay is final. If not, it puts the
 // relay into backoff, and the caller repeats the call at the store.
 func (s *Store) recordResult(relay netip.AddrPort, err error) bool {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -50,6 +50,14 @@
 	return s.Store.GrantLease(ctx, ttl)
 }
 
+func (s *countingStore) Range(ctx context.Context, prefix, after string, limit int) (persister.Page, error) {
+	s.calls.Add(1)
+	if s.refuse {
+		return persister.Page{}, persister.ErrUnavailable
+	}
+	return s.Store.Range(ctx, prefix, after, limit)
+}
+
 func (s *countingStore) Watch(ctx context.Context, prefix string, after contractor.Revision, handle func(persister.Batch) error) error {
 	s.calls.Add(1)
 	return s.Store.Watch(ctx, prefix, after, handle)
@@ -143,9 +151,13 @@
 	f.emulated.SetFaults(emulator.StoreFaults{Outage: true})
 	_, err := f.Commit(t.Context(), put("row/1", 0))
 	require.Error(t, err)
+	for range 3 {
+		f.recordResult(f.relays[0], persister.ErrUnknown) // its backoff outlasts the pause of direct calls
+	}
+	f.emulated.SetFaults(emulator.StoreFaults{})
+	f.now = f.now.Add(maxDirectPause)
 	_, ok := f.selectRelay()
 	require.False(t, ok)
-	f.emulated.SetFaults(emulator.StoreFaults{})
 	_, err = f.Commit(t.Context(), put("row/1", 0))
 	require.NoError(t, err)
 	_, ok = f.selectRelay()
@@ -295,3 +307,77 @@
 		require.Error(t, decode(message, &e))
 	}
 }
+
+// pauseDirect makes the store refuse this daemon until its direct calls are paused.
+func (f *fixture) pauseDirect(t *testing.T) {
+	f.direct.refuse = true
+	for range 3 {
+		_, err := f.Range(t.Context(), "row/", "", 0)
+		require.ErrorIs(t, err, persister.ErrUnavailable)
+		f.now = f.now.Add(directFailureTime)
+	}
+	f.now = f.now.Add(-directFailureTime)
+	require.True(t, f.directPaused())
+}
+
+// Each call of a daemon is charged for. While the store did not respond, every call of every daemon was
+// sent to it after all relays had failed, several a second.
+func TestDirectCallsArePausedWhileTheStoreFails(t *testing.T) {
+	f := newFixture(t, failingRelay)
+	f.direct.refuse = true
+	failFor := func(duration time.Duration) int64 {
+		before := f.direct.calls.Load()
+		for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+			_, err := f.Commit(t.Context(), put("row/1", 0))
+			require.Error(t, err)
+			_, err = f.Range(t.Context(), "row/", "", 0)
+			require.ErrorIs(t, err, persister.ErrUnavailable)
+		}
+		return f.direct.calls.Load() - before
+	}
+	require.EqualValues(t, 20, failFor(directFailureTime), "a short failure pauses nothing")
+	calls := failFor(3 * time.Second)
+	require.LessOrEqual(t, calls, int64(7), "3 s with pauses of at least 500 ms, and the first call")
+	require.GreaterOrEqual(t, calls, int64(3), "the end of the failure has to be noticed")
+	f.direct.refuse = false
+	f.now = f.now.Add(maxDirectPause)
+	_, err := f.Range(t.Context(), "row/", "", 0)
+	require.NoError(t, err)
+	_, err = f.Range(t.Context(), "row/", "", 0)
+	require.NoError(t, err, "one success ends the pause")
+}
+
+// A transaction that a relay may have committed must not count as not executed because the direct call
+// was not sent.
+func TestPausedDirectCallKeepsTheOutcomeAtTheRelay(t *testing.T) {
+	f := newFixture(t, failingRelay)
+	f.pauseDirect(t)
+	_, err := f.Commit(t.Context(), put("row/1", 0))
+	require.ErrorIs(t, err, persister.ErrUnknown)
+}
+
+// A daemon that the store refuses learned no change of configuration, because its watch began with a call
+// to the store.
+func TestRefusedDaemonWatchesThroughTheRelay(t *testing.T) {
+	f := newFixture(t, nil)
+	f.pauseDirect(t)
+	calls := f.direct.calls.Load()
+	f.emulated.PutAsOperator("row/1", []byte("x"))
+	err := f.Watch(t.Context(), "row/", 1, func(b persister.Batch) error {
+		require.Len(t, b.Changes, 1)
+		return errOneBatch
+	})
+	require.ErrorIs(t, err, errOneBatch)
+	require.Equal(t, calls, f.direct.calls.Load())
+}
+
+// A fleet without relays depends on its own calls and does not pause them.
+func TestFleetWithoutRelaysDoesNotPause(t *testing.T) {
+	f := newFixture(t)
+	f.direct.refuse = true
+	for range 5 {
+		_, err := f.Commit(t.Context(), put("row/1", 0))
+		require.ErrorIs(t, err, persister.ErrUnavailable)
+	}
+	require.EqualValues(t, 5, f.direct.calls.Load())
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -64,7 +64,11 @@
 	// daemon has seen changes that the watch does not report, instead of the changes since. It is
 	// meant for a few large values of which only the newest matter.
 	ReloadWhenBehind bool
-	Recorder         *recorder.Recorder
+	// HasRelay reports whether a watch may be answered by another daemon although the store refuses this
+	// one. After a failure the watch then continues at its revision if the keys cannot be read again.
+	// Nil means false.
+	HasRelay func() bool
+	Recorder *recorder.Recorder
 }
 
 // Replicator replicates one prefix.
@@ -72,6 +76,7 @@
 	config      Config
 	after       contractor.Revision // the watch continues after this revision
 	loaded      bool                // false if all keys have to be read before the watch continues
+	stale       bool                // true if all keys should be read again, and the watch may continue without
 	everLoaded  atomic.Bool         // all keys have been read at least once
 	lastContact atomic.Int64        // time of the last response, in nanoseconds since created
 	lastFailure atomic.Int64        // time of the last failed call, in the same unit, or 0
@@ -151,7 +156,8 @@
 			continue
 		}
 		if r.config.ReloadWhenBehind {
-			r.loaded = false
+			r.stale = true
+			r.loaded = r.loaded && err != nil && r.config.HasRelay != nil && r.config.HasRelay()
 		}
 		if err == nil {
 			continue
@@ -166,14 +172,17 @@
 	}
 }
 
-// loadAndWatch reads all keys if they are not loaded, and then watches until an error.
+// loadAndWatch reads all keys if they are not loaded or stale, and then watches until an error.
 func (r *Replicator) loadAndWatch(ctx context.Context, onResponse func()) error {
-	if !r.loaded {
-		if err := r.load(ctx); err != nil {
+	if !r.loaded || r.stale {
+		err := r.load(ctx)
+		if err != nil && (!r.loaded || !errors.Is(err, persister.ErrUnavailable)) {
 			return err
 		}
-		r.recordContact()
-		onResponse()
+		if err == nil {
+			r.recordContact()
+			onResponse()
+		}
 	}
 	return r.watch(ctx, onResponse)
 }
@@ -262,7 +271,7 @@
 	for _, e := range entries {
 		r.appliedRevision.Store(max(r.appliedRevision.Load(), int64(e.Revision)))
 	}
-	r.after, r.loaded = firstRevision, true
+	r.after, r.loaded, r.stale = firstRevision, true, false
 	r.watchedRevision.Store(int64(firstRevision))
 	r.everLoaded.Store(true)
 	return nil
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -292,3 +293,39 @@
 		require.NotZero(t, r.LastFailure(), "the copy may lack entries whose writers are alive")
 	})
 }
+
+// unreadableStore answers watches, as a relay does, and refuses to read keys.
+type unreadableStore struct {
+	persister.Store
+	refuse atomic.Bool
+}
+
+func (s *unreadableStore) Range(ctx context.Context, prefix, after string, limit int) (persister.Page, error) {
+	if s.refuse.Load() {
+		return persister.Page{}, persister.ErrUnavailable
+	}
+	return s.Store.Range(ctx, prefix, after, limit)
+}
+
+// A daemon that the store refuses has to follow the configuration through a relay. It used to read all
+// keys after the first failure, which only the store itself can answer.
+func TestWatchContinuesThroughTheRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore(emulator.StoreConfig{})
+		store.PutAsOperator("op/config", []byte("1"))
+		refusing := &unreadableStore{Store: store}
+		m := &mirror{}
+		r := New(Config{Store: refusing, Prefix: "op/", Handler: m, ReloadWhenBehind: true, HasRelay: func() bool { return true }})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.Run(ctx)
+		time.Sleep(time.Second)
+		refusing.refuse.Store(true)
+		store.SetFaults(emulator.StoreFaults{Outage: true})
+		time.Sleep(2 * time.Second)
+		store.SetFaults(emulator.StoreFaults{})
+		store.PutAsOperator("op/config", []byte("2"))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "2", m.get("op/config"))
+	})
+}
