evacuator, throttler: zones can be evacuated, cold upstreams share a limit

Cause: operators had no way to keep requests away from a zone, and an upstream that has just started got as many requests as any other, and crashed.

Change: package evacuator holds the evacuated zones from the keys under op/evacuate/; registrar.Of leaves their upstreams out, which all paths of requests use. A cold upstream is a limit whose owners are chosen by rendezvous hashing; what they and the permissions of the others may send in any second stays within warmupPerS x warmupOvershoot + warmupAllowance. Requests with homes (allowedRegions) reach only upstreams in their regions. A service whose upstreams are all in evacuated zones is refused with the reason evacuated.

A deployment without these settings is served as before. An entry of which only the warm-up is unreadable now stays listed with a logged warning; it used to be dropped as a whole.

--- a/cmd/laburnumline/settings.go
+++ b/cmd/laburnumline/settings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"os/signal"
 	"syscall"
 	"time"
@@ -43,7 +44,7 @@
 			rec.Event(recorder.SettingsSkipped, "file", path, "err", err)
 			continue
 		}
-		rec.Event(recorder.SettingsChanged, "file", path, "store", next.StoreAddress, "same", next == current)
+		rec.Event(recorder.SettingsChanged, "file", path, "store", next.StoreAddress, "same", reflect.DeepEqual(next, current))
 		store.SetAddress(next.StoreAddress.String())
 		current = next
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -70,6 +70,8 @@
 	RequestLimit throttler.Limit
 	// Rejections is how many requests the upstream states that it can reject.
 	Rejections throttler.Rejections
+	// Warmup is how much longer the upstream states that it is cold.
+	Warmup throttler.WarmupStatement
 }
 
 // Call is one request to an upstream.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -45,6 +45,9 @@
 		now := time.Now()
 		choice, ok := f.Balancer.Choose(now, x.query())
 		if !ok {
+			if refusal := x.refuseUnpermitted(); refusal != nil {
+				return x.finalRefusal(refusal)
+			}
 			return x.finalRefusal(noUpstream(choice.RetryAfter))
 		}
 		failed := x.attempt(ctx, choice)
@@ -137,6 +140,9 @@
 	var failed *failure
 	if err != nil {
 		failed = x.sendFailure(err)
+		if failed.outcome == balancer.Unreachable && ctx.Err() == nil {
+			x.recordUnreachable(&choice.Upstream, sentAt)
+		}
 	} else {
 		x.recordLimit(&choice.Upstream, sentAt, response)
 		if response.Metadata.Leaving {
@@ -174,6 +180,7 @@
 		Upstream: string(u.Name), SentAt: sentAt, ReceivedAt: time.Now(), Retry: x.sends > 0, Limit: response.Metadata.RequestLimit,
 	}
 	r.Service, r.Rejections = string(u.Service), response.Metadata.Rejections
+	r.Address, r.Warmup, r.Misdirected = u.Address, response.Metadata.Warmup, response.Status == http.StatusMisdirectedRequest
 	if response.Status == http.StatusServiceUnavailable {
 		r.Rejected = response.Metadata.NotRun
 		r.Pause = response.Metadata.RetryAfter
@@ -181,6 +188,13 @@
 	x.forwarder.config.Limits.Record(u.LimitID(), r)
 }
 
+// recordUnreachable records that an upstream accepts no connection. It may be cold when it does again.
+func (x *exchange) recordUnreachable(u *registrar.Upstream, sentAt time.Time) {
+	x.forwarder.config.Limits.Record(u.LimitID(), throttler.Response{
+		Upstream: string(u.Name), Service: string(u.Service), Address: u.Address, SentAt: sentAt, ReceivedAt: time.Now(), Unreachable: true,
+	})
+}
+
 func (x *exchange) upstreamCall(choice balancer.Choice) *connector.Call {
 	header := x.request.Header.Clone()
 	resumeAfter := x.lastEventID
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -103,6 +103,9 @@
 		return refuser.New(refuser.NoUpstream, "route").WithRetryAfter(unavailableRetryAfter).WithDetail("route %q selects a service that is not configured", route.Name)
 	}
 	x.setDeadline()
+	if refusal := x.refuseUnpermitted(); refusal != nil {
+		return refusal
+	}
 	return x.readBody(ctx, table.Limits().BodyBytes)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -92,6 +92,8 @@
 // Upstreams lists the upstreams of a service.
 type Upstreams interface {
 	Of(service resolver.ServiceName) []registrar.Upstream
+	// EvacuatedOf lists those that are left out because their zones are evacuated.
+	EvacuatedOf(service resolver.ServiceName) []registrar.Upstream
 	// MarkLeaving records that an upstream has stated that it leaves.
 	MarkLeaving(u *registrar.Upstream)
 	// SoftwareVersions returns the versions that may have begun streams which callers still
@@ -167,6 +169,8 @@
 	Delegate     Delegate
 	// Probe opens a connection to an upstream and closes it.
 	Probe func(ctx context.Context, address netip.AddrPort) error
+	// RegionOf returns the region of a zone, or an empty name. Nil means that no region is known.
+	RegionOf func(zone string) string
 	// SetMetadata writes the metadata into the headers of a call.
 	SetMetadata func(h http.Header, m Metadata)
 	// Random returns numbers from 0 to below 1.
@@ -180,6 +184,8 @@
 	// unavailableRetryAfter is the Retry-After when no upstream or configuration is
 	// available. Upstreams appear and recover within about a second.
 	unavailableRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After when all upstreams of a service are in evacuated zones.
+	evacuatedRetryAfter = time.Second
 	// overloadRetryAfter is the Retry-After when the upstreams of a service are full.
 	overloadRetryAfter = 300 * time.Millisecond
 	// maxNotExecutedSends is the number of sends beyond the attempts of the route that
@@ -201,6 +207,9 @@
 
 // New returns a forwarder.
 func New(c Config) *Forwarder {
+	if c.RegionOf == nil {
+		c.RegionOf = func(string) string { return "" }
+	}
 	return &Forwarder{
 		config:    c,
 		reserving: c.Recorder.Histogram("request.reserving"),
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -51,6 +51,7 @@
 	reserveRefusal *refuser.Refusal
 	table          *resolver.Table
 	list           []registrar.Upstream
+	evacuated      []registrar.Upstream
 	quarantine     *quarantiner.Quarantiner
 	probeFails     bool // upstreams accept no connections
 	rec            *recorder.Recorder
@@ -94,6 +95,8 @@
 
 func (s *fakeUpstreams) Of(resolver.ServiceName) []registrar.Upstream { return s.list }
 
+func (s *fakeUpstreams) EvacuatedOf(resolver.ServiceName) []registrar.Upstream { return s.evacuated }
+
 func (s *fakeUpstreams) MarkLeaving(*registrar.Upstream) {}
 
 func (s *fakeUpstreams) SoftwareVersions(resolver.ServiceName) ([]string, bool) {
--- a/forwarder/software.go
+++ b/forwarder/software.go
@@ -58,18 +58,8 @@
 	x.forwarder.config.Streams.Pin(pinner.StreamOf(first), x.software, !complete || len(versions) > 1)
 }
 
-// candidates returns the upstreams that may run the request: those of its service, and for a
-// stream that has begun those of its software version.
+// candidates returns the upstreams that may run the request: those of its service, for a stream that
+// has begun those of its software version, and for a request with homes those in its regions.
 func (x *exchange) candidates() []registrar.Upstream {
-	all := x.forwarder.config.Upstreams.Of(x.service.Name)
-	if !x.softwareKnown {
-		return all
-	}
-	var same []registrar.Upstream
-	for _, u := range all {
-		if u.Software == x.software {
-			same = append(same, u)
-		}
-	}
-	return same
+	return x.permitted(x.forwarder.config.Upstreams.Of(x.service.Name))
 }
--- a/launcher/configuration.go
+++ b/launcher/configuration.go
@@ -7,14 +7,16 @@
 	"laburnumline/resolver"
 )
 
-// configurationHandler applies new versions of the configuration from the store. A
-// version that cannot be decoded is skipped, and the last valid one stays in force.
+// configurationHandler applies new versions of the configuration and evacuations of zones from the
+// store. A version that cannot be decoded is skipped, and the last valid one stays in force.
 type configurationHandler struct {
 	daemon *Daemon
 }
 
-// Reset applies the newest configuration.
+// Reset applies the newest configuration. Evacuations come first, so that a daemon that starts sends
+// nothing to evacuated zones.
 func (h *configurationHandler) Reset(entries []persister.Entry) {
+	h.daemon.evacuator.Reset(entries)
 	for _, e := range entries {
 		h.apply(e)
 	}
@@ -22,6 +24,7 @@
 
 // Apply applies one change. When the configuration is deleted, the last one stays in force.
 func (h *configurationHandler) Apply(c persister.Change) {
+	h.daemon.evacuator.Apply(c)
 	if !c.Deleted {
 		h.apply(c.Entry)
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -37,6 +37,7 @@
 	"laburnumline/connector"
 	"laburnumline/contractor"
 	"laburnumline/delegator"
+	"laburnumline/evacuator"
 	"laburnumline/forwarder"
 	"laburnumline/gauger"
 	"laburnumline/persister"
@@ -75,6 +76,11 @@
 	GracePeriod time.Duration
 	// RetryRatio is the maximum number of retries in the fleet, as a fraction of its requests.
 	RetryRatio float64
+	// Regions has the region of each zone. It may be empty.
+	Regions map[string]string
+	// WarmupOvershoot times the rate that a cold upstream tolerates, plus WarmupAllowance, is the number of
+	// requests that it may get in any second from all daemons together.
+	WarmupOvershoot, WarmupAllowance float64
 }
 
 // Adapter holds the platform's store, its names, and the functions that translate its formats.
@@ -85,9 +91,12 @@
 	MaxOperations       int
 	ConfigurationPrefix string
 	ConfigurationKey    string
+	// EvacuationPrefix is that of the keys that evacuate zones. It begins with ConfigurationPrefix.
+	EvacuationPrefix    string
 	UpstreamPrefix      string
 	ReadyPath           string
 	DecodeConfiguration func(value []byte) (resolver.Document, error)
+	DecodeEvacuation    func(key string, value []byte) (zone string, err error)
 	DecodeUpstream      func(key string, value []byte) (registrar.Upstream, error)
 	NewHandler          func(f *forwarder.Forwarder) http.Handler
 	SetUpstreamHeaders  func(h http.Header, m forwarder.Metadata)
@@ -143,6 +152,7 @@
 	transferrer             atomic.Pointer[transferrer.Transferrer]
 	activeTable             *resolver.ActiveTable
 	registrar               *registrar.Registrar
+	evacuator               *evacuator.Evacuator
 	shares                  *apportioner.Apportioner
 	balancer                *balancer.Balancer
 	throttler               *throttler.Throttler
@@ -154,6 +164,7 @@
 	combiner                *combiner.Combiner
 	store                   *relayer.Store
 	forwarder               *forwarder.Forwarder
+	probeUpstream           func(ctx context.Context, address netip.AddrPort) error
 	configurationReplicator *replicator.Replicator
 	upstreamReplicator      *replicator.Replicator
 
@@ -184,6 +195,7 @@
 	if c.DialUpstream != nil {
 		dialUpstream = d.link.Dialer(c.DialUpstream)
 	}
+	d.probeUpstream = func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) }
 	d.combiner = combiner.New(combiner.Config{
 		Store: c.Adapter.Store, MaxOperations: c.Adapter.MaxOperations, BatchDelay: batchDelay,
 		Merger: &apportioner.PoolMerger{}, Recorder: rec,
@@ -197,12 +209,21 @@
 		BootClock: timekeeper.Read,
 	})
 	d.pinner = pinner.New(pinner.Config{Self: s.streamAddress(), Peers: d.streamPeers, Send: d.sendStreamMessage, Recorder: rec})
-	d.throttler = throttler.New(throttler.Config{Self: s.InternalAddress, Members: d.knownPeers, Changed: d.hastenNotice, Recorder: rec})
+	d.throttler = throttler.New(throttler.Config{
+		Self: s.InternalAddress, Members: d.knownPeers, MembersCurrent: d.membersCurrent, Warmup: d.warmupOf, Changed: d.hastenNotice, Recorder: rec,
+	})
 	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler})
 	d.pool = connector.New(connector.Config{
 		Dial: dialUpstream, ReadMetadata: c.Adapter.ParseResponseHeader, Recorder: rec,
 	})
-	d.registrar = registrar.New(registrar.Config{Decode: c.Adapter.DecodeUpstream, LastFailure: d.lastFailure, ListAge: d.upstreamListAge, Recorder: rec})
+	d.evacuator = evacuator.New(evacuator.Config{
+		Prefix: c.Adapter.EvacuationPrefix, Decode: c.Adapter.DecodeEvacuation, Zones: s.Regions, Era: d.store.Era,
+		Returning: d.keepZoneCold, Changed: d.refreshUpstreams, Recorder: rec,
+	})
+	d.registrar = registrar.New(registrar.Config{
+		Decode: c.Adapter.DecodeUpstream, LastFailure: d.lastFailure, ListAge: d.upstreamListAge, Recorder: rec,
+		Evacuated: d.evacuator.Evacuated, Renewed: d.recordWarmup,
+	})
 	d.configurationReplicator = replicator.New(replicator.Config{
 		Store: d.store, Prefix: c.Adapter.ConfigurationPrefix, Recorder: rec,
 		Handler: &configurationHandler{daemon: d}, ReloadWhenBehind: true,
@@ -227,8 +248,8 @@
 		Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
-		Retries:     retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
-		SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
+		Retries:  retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
+		RegionOf: s.regionOf, SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
 	})
 	return d
 }
@@ -407,6 +428,7 @@
 			return
 		case now := <-t.C:
 			d.registrar.Expire()
+			d.maintainEvacuations(ctx, now)
 			d.dropRemovedUpstreams()
 			d.pool.SetMaxIdle(d.maxIdleConnections())
 			d.pool.CloseExpired(now)
--- a/recorder/catalogue_configuration.go
+++ b/recorder/catalogue_configuration.go
@@ -28,6 +28,16 @@
 	// ConfigurationSkipped is logged when a version cannot be decoded, and the last valid one
 	// stays in force.
 	ConfigurationSkipped Code = 3302
+	// ZoneEvacuated is logged when the upstreams of a zone get no requests any more.
+	ZoneEvacuated Code = 3401
+	// ZoneReturned is logged when the evacuation of a zone has ended.
+	ZoneReturned Code = 3402
+	// EvacuationSkipped is logged when the key of an evacuation cannot be read or names an unknown
+	// zone. It changes nothing.
+	EvacuationSkipped Code = 3403
+	// EvacuationHeld is logged when a restored store lacks the key of an evacuation, which stays in
+	// force for a while.
+	EvacuationHeld Code = 3404
 )
 
 var _ = declare(eventNames{
@@ -43,4 +53,9 @@
 
 	ConfigurationApplied: "configuration_applied",
 	ConfigurationSkipped: "configuration_skipped",
+
+	ZoneEvacuated:     "zone_evacuated",
+	ZoneReturned:      "zone_returned",
+	EvacuationSkipped: "evacuation_skipped",
+	EvacuationHeld:    "evacuation_held",
 })
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -68,6 +68,11 @@
 	// DelegationFailed is logged when a request cannot be sent to another daemon while this one
 	// reaches no upstream of its service, or when its response is lost.
 	DelegationFailed Code = 2409
+	// UpstreamCold is logged when an upstream begins or ceases to count as cold.
+	UpstreamCold Code = 2501
+	// WarmupSkipped is logged when the warm-up in an upstream's entry cannot be read. The last one
+	// stays in force.
+	WarmupSkipped Code = 2502
 )
 
 var _ = declare(eventNames{
@@ -99,4 +104,6 @@
 	StreamMessageFailed: "stream_message_failed",
 	SoftwareNotStored:   "software_not_stored",
 	DelegationFailed:    "delegation_failed",
+	UpstreamCold:        "upstream_cold",
+	WarmupSkipped:       "warmup_skipped",
 })
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -7,11 +7,15 @@
 // Therefore an entry that disappears within failureWindow after a failed call to the
 // store is kept until calls have succeeded for recoveryTime.
 //
+// Upstreams in evacuated zones (package evacuator) are not in the list of Of, which all paths of
+// requests use, but their software versions count.
+//
 //	r := registrar.New(registrar.Config{Decode: decode})
 //	for _, u := range r.Of("quote-model") { ... }
 package registrar
 
 import (
+	"errors"
 	"net/netip"
 	"slices"
 	"strings"
@@ -19,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"laburnumline/contractor"
 	"laburnumline/persister"
 	"laburnumline/recorder"
 	"laburnumline/resolver"
@@ -40,7 +45,7 @@
 	Slots int
 	// Draining upstreams get no new requests.
 	Draining bool
-	// Warmup is how long the upstream still runs at reduced speed.
+	// Warmup is how much longer the upstream is cold, as of its entry.
 	Warmup time.Duration
 	// StartedAtMs is the upstream's start in Unix milliseconds, or zero. It changes
 	// when the upstream restarts under the same name.
@@ -50,6 +55,14 @@
 // LimitID returns the ID under which the request limit of the upstream is kept.
 func (u *Upstream) LimitID() throttler.ID { return throttler.IDOf(string(u.Name), u.StartedAtMs) }
 
+// ErrWarmup is the error of an entry of which only the warm-up cannot be read.
+var ErrWarmup = errors.New("warm-up is negative or unreadable")
+
+// ThrottlerStart returns the start of the upstream for the throttler.
+func (u *Upstream) ThrottlerStart() throttler.Start {
+	return throttler.Start{ID: u.LimitID(), Upstream: string(u.Name), Service: string(u.Service), Address: u.Address}
+}
+
 const (
 	// recoveryTime is how long the store may lack entries of live upstreams after it
 	// has recovered, which the users give as about two seconds.
@@ -61,13 +74,19 @@
 
 // Config holds what a Registrar needs.
 type Config struct {
-	// Decode reads an entry. Entries with an error are skipped.
+	// Decode reads an entry. Entries with an error other than ErrWarmup are skipped.
 	Decode func(key string, value []byte) (Upstream, error)
 	// ListAge returns the time since the list was last confirmed. Nil means that it is current.
 	ListAge func() time.Duration
 	// LastFailure returns when a call to the store last failed, or the zero time.
 	LastFailure func() time.Time
-	Recorder    *recorder.Recorder
+	// Evacuated reports whether the upstreams of a zone get no requests. Refresh has to be called when
+	// that changes. Nil means that no zone is evacuated.
+	Evacuated func(zone string) bool
+	// Renewed is called with each entry that is new or was written again, before the upstream gets
+	// requests because of it. It must not call the Registrar. Nil means that nobody needs to know.
+	Renewed  func(u *Upstream, warmup throttler.WarmupStatement)
+	Recorder *recorder.Recorder
 	// Now returns the time. Nil means time.Now.
 	Now func() time.Time
 }
@@ -83,6 +102,7 @@
 	removed map[Name]removal // while the store was available
 
 	available  atomic.Pointer[map[resolver.ServiceName][]Upstream]
+	evacuated  atomic.Pointer[map[resolver.ServiceName][]Upstream]
 	generation atomic.Int64
 	software   atomic.Pointer[softwareView]
 	createdAt  time.Time
@@ -91,6 +111,7 @@
 type entry struct {
 	upstream Upstream
 	valid    bool
+	revision contractor.Revision
 	// missingSince is when the entry disappeared from the store, or the zero time.
 	missingSince time.Time
 }
@@ -100,6 +121,12 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Evacuated == nil {
+		c.Evacuated = func(string) bool { return false }
+	}
+	if c.Renewed == nil {
+		c.Renewed = func(*Upstream, throttler.WarmupStatement) {}
+	}
 	if c.LastFailure == nil {
 		c.LastFailure = func() time.Time { return time.Time{} }
 	}
@@ -112,12 +139,38 @@
 	return r
 }
 
-// Of returns the upstreams of a service that accept new requests, sorted by name. Callers
-// must not change the result.
+// Of returns the upstreams of a service that accept new requests and are not in an evacuated zone,
+// sorted by name. Callers must not change the result.
 func (r *Registrar) Of(service resolver.ServiceName) []Upstream {
 	return (*r.available.Load())[service]
 }
 
+// EvacuatedOf returns the upstreams of a service that would be in the list of Of if their zones were
+// not evacuated. Callers must not change the result.
+func (r *Registrar) EvacuatedOf(service resolver.ServiceName) []Upstream {
+	return (*r.evacuated.Load())[service]
+}
+
+// InZone returns the upstreams of a zone in the list, including draining ones.
+func (r *Registrar) InZone(zone string) []Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Upstream
+	for _, e := range r.entries {
+		if e.valid && e.upstream.Zone == zone {
+			all = append(all, e.upstream)
+		}
+	}
+	return all
+}
+
+// Refresh applies a change of the evacuated zones.
+func (r *Registrar) Refresh() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.publish()
+}
+
 // Listed reports whether an upstream is in the list, even if it is draining.
 func (r *Registrar) Listed(name Name) bool {
 	r.mu.Lock()
@@ -217,6 +270,11 @@
 // put adds or replaces an entry. The lock is held.
 func (r *Registrar) put(e persister.Entry) {
 	upstream, err := r.config.Decode(e.Key, e.Value)
+	warmup := throttler.WarmupStatement{Stated: true, Left: upstream.Warmup}
+	if errors.Is(err, ErrWarmup) {
+		r.config.Recorder.Event(recorder.WarmupSkipped, "key", e.Key, "revision", e.Revision, "err", err)
+		warmup, err = throttler.WarmupStatement{}, nil
+	}
 	if err != nil {
 		r.config.Recorder.Event(recorder.EntrySkipped, "key", e.Key, "revision", e.Revision, "err", err)
 		// The key stays in the list without an upstream. Its earlier value no longer applies.
@@ -228,7 +286,10 @@
 		r.config.Recorder.Event(recorder.UpstreamListed, "upstream", upstream.Name, "service", upstream.Service,
 			"address", upstream.Address, "software", upstream.Software, "draining", upstream.Draining, "revision", e.Revision)
 	}
-	r.entries[e.Key] = &entry{upstream: upstream, valid: true}
+	r.entries[e.Key] = &entry{upstream: upstream, valid: true, revision: e.Revision}
+	if old == nil || !old.valid || e.Revision > old.revision {
+		r.config.Renewed(&upstream, warmup)
+	}
 	if upstream.Draining {
 		r.recordDeparture(&upstream, false)
 	}
@@ -261,15 +322,20 @@
 
 // publish rebuilds the map of available upstreams, which Of reads without a lock.
 func (r *Registrar) publish() {
-	available := make(map[resolver.ServiceName][]Upstream)
+	available, evacuated := make(map[resolver.ServiceName][]Upstream), make(map[resolver.ServiceName][]Upstream)
 	for _, e := range r.entries {
 		if e.valid && !e.upstream.Draining && !r.leaves(&e.upstream) && !r.hidden(&e.upstream) {
-			available[e.upstream.Service] = append(available[e.upstream.Service], e.upstream)
+			lists := available
+			if r.config.Evacuated(e.upstream.Zone) {
+				lists = evacuated
+			}
+			lists[e.upstream.Service] = append(lists[e.upstream.Service], e.upstream)
 		}
 	}
 	for _, list := range available {
 		slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	}
+	r.evacuated.Store(&evacuated)
 	r.available.Store(&available)
 	known := r.software.Load()
 	r.updateSoftware(known.history, known.complete)
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -68,6 +68,8 @@
 	// Priority is the priority of the requests; 0 is the most urgent.
 	Priority     int
 	TrafficSplit []WeightedService
+	// AllowedRegions are the only regions in which upstreams may run the requests. Empty means all.
+	AllowedRegions []string
 }
 
 // AllowsReexecution reports whether a request that may have been executed can be sent
@@ -90,6 +92,10 @@
 	CacheTokens int64
 	// Slots is the number of requests that an engine executes concurrently.
 	Slots int
+	// Warmup is how long an upstream is cold after its start, and WarmupRate the number of requests per
+	// second that it tolerates in that time. If one of them is zero, upstreams are never cold.
+	Warmup     time.Duration
+	WarmupRate float64
 }
 
 // Account is a client account with its keys, priority and prepaid budget.
@@ -103,6 +109,8 @@
 	// HasPrepaid its consumption is not limited.
 	Prepaid    contractor.Tokens
 	HasPrepaid bool
+	// AllowedRegions are the only regions in which upstreams may run the requests. Empty means all.
+	AllowedRegions []string
 }
 
 // Limits are the limits on the size and duration of callers' requests.
--- a/throttler/share.go
+++ b/throttler/share.go
@@ -45,6 +45,10 @@
 	others   []netip.AddrPort
 	known    bool
 	loadedAt time.Time
+	// settledSize is the size of the fleet from which growth counts. Until unsettledUntil, other daemons
+	// may know more members than this one.
+	settledSize    int
+	unsettledUntil time.Time
 }
 
 // hasShare reports whether the share of this daemon allows a request to an upstream with a limit. The
@@ -67,10 +71,22 @@
 	if m.loadedAt.IsZero() || now.Sub(m.loadedAt) > shareLifetime {
 		m.others, m.known = t.config.Members()
 		m.loadedAt = now
+		m.settle(now)
 	}
 	return m.known
 }
 
+// settle notes when the fleet has grown by more than a quarter, or has no other members at first.
+func (m *members) settle(now time.Time) {
+	size := len(m.others) + 1
+	if m.known && (m.settledSize == 0 && size == 1 || m.settledSize > 0 && 4*size > 5*m.settledSize) {
+		m.unsettledUntil = now.Add(membersSettleTime)
+	}
+	if m.known {
+		m.settledSize = size
+	}
+}
+
 // computeShare computes the share of this daemon in a limit.
 func (t *Throttler) computeShare(now time.Time, id ID, s *state) {
 	rate := max(s.limit.Rate, minRate)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -20,6 +20,11 @@
 // request, so that each of them sees the end of the limit although notices may be lost.
 // Daemons tell each other of limits in their notices (package announcer).
 //
+// An upstream is cold for some seconds after its start and crashes when it gets many requests in that time.
+// Its limit is divided in the same way, but so that even the requests of any one second stay within a
+// maximum; it ends by itself. An upstream counts as cold while its entry or a response says so, after
+// its zone returns from an evacuation, and after this daemon could not reach it.
+//
 //	t := throttler.New(throttler.Config{Self: address, Members: members, Recorder: rec})
 //	id := throttler.IDOf("i-7", startedAtMs)
 //	if t.Allows(now, id) {
@@ -104,6 +109,12 @@
 	Service    string
 	Rejected   bool
 	Rejections Rejections
+	// Warmup is what the response says about how much longer the upstream is cold. Address is that of the
+	// upstream. Unreachable is true instead of all else if no connection could be opened, Misdirected if
+	// another upstream has the address.
+	Warmup                   WarmupStatement
+	Address                  netip.AddrPort
+	Unreachable, Misdirected bool
 }
 
 // Config holds what a Throttler needs.
@@ -114,6 +125,11 @@
 	// they are not known; the daemon then sends nothing to upstreams with a limit. Nil means
 	// that there are no others.
 	Members func() ([]netip.AddrPort, bool)
+	// MembersCurrent reports whether the other daemons agree about the members of the fleet. While they
+	// may not, the daemon sends nothing to cold upstreams. Nil means that they always do.
+	MembersCurrent func(now time.Time) bool
+	// Warmup describes the cold upstreams of a service. Nil means that upstreams are never cold.
+	Warmup func(service string) Warmup
 	// Changed is called when an upstream has stated another limit than before. Nil means that
 	// nobody needs to know.
 	Changed func()
@@ -125,13 +141,14 @@
 // Throttler holds the limits of all upstreams. It is safe for concurrent use.
 type Throttler struct {
 	config Config
-	// restricted is the number of limits and pauses.
+	// restricted is the number of limits, pauses and cold upstreams.
 	restricted atomic.Int64
 
 	mu     sync.Mutex
 	limits map[ID]*state
 	// pauses has the end of the pause of each upstream.
 	pauses  map[ID]time.Time
+	cold    map[ID]*coldState
 	members members
 	// brittle has the services whose upstreams are brittle. brittleServices is their number.
 	brittle         map[string]brittleness
@@ -157,17 +174,35 @@
 	if c.Members == nil {
 		c.Members = func() ([]netip.AddrPort, bool) { return nil, true }
 	}
+	if c.MembersCurrent == nil {
+		c.MembersCurrent = func(time.Time) bool { return true }
+	}
+	if c.Warmup == nil {
+		c.Warmup = func(string) Warmup { return Warmup{} }
+	}
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
-	return &Throttler{config: c, limits: make(map[ID]*state), pauses: make(map[ID]time.Time), brittle: make(map[string]brittleness), brittleSenders: make(map[ID]brittleSender)}
+	return &Throttler{
+		config: c, limits: make(map[ID]*state), pauses: make(map[ID]time.Time), cold: make(map[ID]*coldState),
+		brittle: make(map[string]brittleness), brittleSenders: make(map[ID]brittleSender),
+	}
 }
 
 // Record records what a response says about the limit of its upstream.
 func (t *Throttler) Record(id ID, r Response) {
+	start := Start{ID: id, Upstream: r.Upstream, Service: r.Service, Address: r.Address}
+	if r.Unreachable {
+		t.MarkUnreachable(r.ReceivedAt, start)
+		return
+	}
+	if !r.Misdirected {
+		t.MarkReached(r.ReceivedAt, id)
+		t.RecordWarmup(r.ReceivedAt, start, r.Warmup)
+	}
 	t.recordBrittle(id, r)
 	if !r.Limit.Stated && r.Pause <= 0 && t.restricted.Load() == 0 {
 		return
@@ -286,6 +321,9 @@
 	if t.isPaused(now, id) {
 		return false
 	}
+	if c := t.coldState(now, id); c != nil && !t.hasColdShare(now, id, c) {
+		return false
+	}
 	s := t.limits[id]
 	return s == nil || !s.limit.Stated || t.hasShare(now, id, s)
 }
@@ -310,8 +348,12 @@
 			}
 			continue
 		}
-		if s := t.limits[id]; s != nil && s.limit.Stated {
+		s, c := t.limits[id], t.coldState(now, id)
+		switch {
+		case s != nil && s.limit.Stated:
 			rate += max(s.limit.Rate, minRate)
+		case c != nil:
+			rate += max(c.warmup.Rate, minRate)
 		}
 	}
 	if rate > 0 {
@@ -352,14 +394,20 @@
 	if t.isPaused(now, id) {
 		return false
 	}
-	s := t.limits[id]
-	if s == nil || !s.limit.Stated {
-		return true
-	}
-	if !t.hasShare(now, id, s) {
+	c := t.coldState(now, id)
+	if c != nil && !t.hasColdShare(now, id, c) {
 		return false
 	}
-	s.share.take()
+	if s := t.limits[id]; s != nil && s.limit.Stated {
+		if !t.hasShare(now, id, s) {
+			return false
+		}
+		s.share.take()
+	}
+	if c != nil {
+		c.share.take()
+		t.config.Recorder.Count("throttler.cold", 1)
+	}
 	return true
 }
 
@@ -386,5 +434,6 @@
 	for id := range t.pauses {
 		t.isPaused(now, id) // deletes a pause that has ended
 	}
+	t.retainCold(now, listed)
 	clear(t.brittleSenders)
 }
