--- a/cmd/laburnumline/settings.go
+++ b/cmd/laburnumline/settings.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"os"
-	"reflect"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -235,6 +235,12 @@
 	writeJSON(w, map[string]any{"ttlMs": remaining.Milliseconds()})
 }
 
+// Evacuate writes the key with which an operator evacuates a zone, EndEvacuation deletes it.
+func (s *Store) Evacuate(zone string) { s.PutAsOperator("op/evacuate/"+zone, []byte("{}")) }
+
+// EndEvacuation ends the evacuation of a zone.
+func (s *Store) EndEvacuation(zone string) { s.RemoveAsOperator("op/evacuate/" + zone) }
+
 // PutAsOperator writes a key as the operator or an upstream does: without faults,
 // rate limits and the write protection of keys under op/ and servers/.
 func (s *Store) PutAsOperator(key string, value []byte) {
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -77,6 +77,11 @@
 	arrivals   []time.Time
 	// limit is the request limit that responses state, or negative.
 	limit float64
+	// coldUntil is the end of the warm-up. A cold runner crashes when maxCold requests arrive within one
+	// second, and counts that in overloads.
+	coldUntil time.Time
+	maxCold   int
+	overloads int
 }
 
 // NewRunner returns a runner. Serve starts it.
@@ -100,6 +105,33 @@
 	r.limit = rate
 }
 
+// SetWarmup makes the runner cold for a time, as after a start. It crashes, and is back after CrashDowntime,
+// when more than maxPerSecond requests arrive within one second of it.
+func (r *Runner) SetWarmup(left time.Duration, maxPerSecond int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.coldUntil, r.maxCold = time.Now().Add(left), maxPerSecond
+}
+
+// Overloads returns how often the runner crashed because it was cold.
+func (r *Runner) Overloads() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.overloads
+}
+
+// overloaded reports whether the last arrival was too many for a cold runner.
+func (r *Runner) overloaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.arrivals)
+	if !time.Now().Before(r.coldUntil) || n <= r.maxCold || r.arrivals[n-1].Sub(r.arrivals[n-1-r.maxCold]) >= time.Second {
+		return false
+	}
+	r.overloads++
+	return true
+}
+
 // Arrivals returns the times of all requests since the start, also of those that were rejected.
 func (r *Runner) Arrivals() []time.Time {
 	r.mu.Lock()
@@ -113,6 +145,9 @@
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, time.Now())
 	h.Set("Attempt-Id", request.Header.Get("Attempt-Id"))
+	if left := time.Until(r.coldUntil); left > 0 {
+		h.Set("Warmup-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	}
 	if r.limit >= 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'g', -1, 64))
 	}
@@ -157,6 +192,9 @@
 	}
 	h := w.Header()
 	r.arrive(h, request)
+	if r.overloaded() {
+		r.crash(w)
+	}
 	fault := r.nextFault()
 	if expected := request.Header.Get("Expected-Runner"); expected != "" && expected != r.config.Name {
 		fault = RunnerMisdirected
