platform: load reports are read figure by figure

A header Runner-Load with a fourth figure, the slowdown, was discarded as a whole, so on deployments that report it no load of an upstream was known; one malformed figure had the same effect. Each figure is now read independently. Missing, surplus, malformed and out-of-range figures are ignored and counted (connector.load_figures_ignored). The balancer keeps the last fresh value of a figure that a report lacks. The slowdown is parsed but not used yet.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -97,17 +97,11 @@
 	return fmt.Sprintf("outcome(%d)", uint8(o))
 }
 
-// Load is the load that an upstream reported in a response: requests in execution, requests
-// in its queue, and requests that it can execute at a time.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Result is the result of a request at an upstream.
 type Result struct {
 	Outcome Outcome
-	// Load is nil if the upstream did not report it.
-	Load *Load
+	// Load is the load that the upstream reported in its response.
+	Load Load
 }
 
 // Choice is the upstream chosen for a request.
@@ -144,9 +138,6 @@
 	// failuresToEject is the number of consecutive failed requests after which an upstream
 	// is ejected. Healthy upstreams fail single requests.
 	failuresToEject = 2
-	// loadLifetime is how long a reported load is used. Reports are several hundred
-	// milliseconds old when they arrive.
-	loadLifetime = time.Second
 )
 
 // Limits keeps the request limits that upstreams state.
@@ -193,10 +184,9 @@
 	// others holds the load of other daemons by their incarnation.
 	others map[uint32]remoteLoad
 	// announced is true if the last notice contained requests in flight at the upstream.
-	announced  bool
-	reported   Load
-	reportedAt time.Time
-	failures   int // consecutive, since the last served request
+	announced bool
+	reported  report
+	failures  int // consecutive, since the last served request
 	// ejectedUntil is the end of the ejection. It is zero after a served request.
 	ejectedUntil time.Time
 	// trial is true while one request tests an upstream that was ejected. It keeps other
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -134,10 +134,7 @@
 func (s *upstreamState) requests(now time.Time) float64 {
 	_, othersInFlight := s.othersLoad(now)
 	inFlight := float64(s.inFlight + othersInFlight)
-	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) > loadLifetime {
-		return inFlight
-	}
-	return max(inFlight, float64(s.reported.Running+s.reported.Waiting))
+	return max(inFlight, float64(s.reported.requests(now)))
 }
 
 // lowestCost returns the upstream at which the request has the lowest cost, and the prefill
@@ -241,9 +238,7 @@
 		return
 	}
 	s.inFlight = max(s.inFlight-1, 0)
-	if r.Load != nil {
-		s.reported, s.reportedAt = *r.Load, now
-	}
+	s.reported.record(now, r.Load)
 	s.recordOutcome(now, r.Outcome)
 }
 
@@ -256,8 +251,7 @@
 		s.failures, s.ejectedUntil, s.trial = 0, time.Time{}, false
 	case Full:
 		s.trial = false
-		s.reportedAt = now
-		s.reported.Waiting = max(s.reported.Waiting, s.reported.Slots)
+		s.reported.recordFull(now)
 	case Abandoned:
 		s.trial = false
 	case Failed, Unreachable, Misdirected:
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"laburnumline/balancer"
 	"laburnumline/recorder"
 	"laburnumline/throttler"
 )
@@ -58,9 +59,10 @@
 	Signed bool
 	// NotRun is true if the upstream states that it did not execute the request.
 	NotRun bool
-	// HasLoad is true if Running, Waiting and Slots hold the load of the upstream.
-	HasLoad                 bool
-	Running, Waiting, Slots int
+	// Load holds the figures of the upstream's load report that could be read. IgnoredFigures
+	// counts the others: malformed, missing and surplus ones.
+	Load           balancer.Load
+	IgnoredFigures int
 	// Leaving is true if the upstream states that it leaves.
 	Leaving bool
 	// RetryAfter is the time for which the daemon sends the upstream no further request after it has
--- a/connector/response.go
+++ b/connector/response.go
@@ -103,6 +103,9 @@
 			continue
 		}
 		metadata := r.pool.config.ReadMetadata(response.Header)
+		if metadata.IgnoredFigures > 0 {
+			r.pool.config.Recorder.Count("connector.load_figures_ignored", int64(metadata.IgnoredFigures))
+		}
 		if metadata.ID == call.ID {
 			r.accept(response, metadata)
 			return nil
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -142,9 +142,7 @@
 		if response.Metadata.Leaving {
 			f.Upstreams.MarkLeaving(&choice.Upstream)
 		}
-		if response.Metadata.HasLoad {
-			result.Load = &balancer.Load{Running: response.Metadata.Running, Waiting: response.Metadata.Waiting, Slots: response.Metadata.Slots}
-		}
+		result.Load = response.Metadata.Load
 		f.Balancer.ResponseStarted(&choice)
 		failed = x.handleResponse(response)
 		response.Close()
--- a/forwarder/brittle_test.go
+++ b/forwarder/brittle_test.go
@@ -113,7 +113,10 @@
 		room = brittleSlots
 	}
 	m := &response.Metadata
-	m.HasLoad, m.Running, m.Waiting, m.Slots = true, min(u.inFlight, brittleSlots), max(u.inFlight-brittleSlots, 0), brittleSlots
+	m.Load = balancer.Load{
+		Running: balancer.NewFigure(min(u.inFlight, brittleSlots)), Waiting: balancer.NewFigure(max(u.inFlight-brittleSlots, 0)),
+		Slots: balancer.NewFigure(brittleSlots),
+	}
 	if u.inFlight >= room {
 		u.reject(brittle && age >= brittleFrom+brittleStable, f.scenario.rejections)
 		f.mu.Unlock()
