balancer: learned speeds of services and upstreams

The cost assumed 45,000 tokens per second and 12 ms per request at every upstream, so slow upstreams got as much work as fast ones, and one that was slow for a moment went on to get requests.

A service has a learned factor on its prefill time and one on its time per request, from the times to first byte of streamed responses. Each upstream has a learned factor on those of its service (always slow) and a recent one that fades within 0.8 s (slow now); a reported slowdown applies while it is fresh, and only while it improves the predictions. A request that waits for more than twice its predicted time counts as a sign of slowness. The cost is multiplied by the factor of the upstream, which is exactly 1 within tolerances, so that cached parts decide as before among even upstreams. Choice has the predicted time to first byte. Reports are now recorded when the response begins, not when it ends. Sums of other daemons' loads, states and buffers are kept between calls.

Tests of balancer and recorder with -race and of forwarder without it pass; launcher was built but its tests not run.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,7 +31,7 @@
 //	b := balancer.New(balancer.Config{Zone: "gulf-south-a"})
 //	choice, ok := b.Choose(now, balancer.Query{Candidates: list, Parts: parts})
 //	...
-//	b.ResponseStarted(&choice)
+//	b.ResponseStarted(now, &choice, balancer.Start{FirstByte: true})
 //	...
 //	b.End(now, &choice, balancer.Result{Outcome: balancer.Served})
 package balancer
@@ -44,9 +44,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"laburnumline/announcer"
+	"laburnumline/recorder"
 	"laburnumline/registrar"
+	"laburnumline/resolver"
 	"laburnumline/throttler"
 )
 
@@ -66,6 +69,9 @@
 	Engine bool
 	// Tokens is the length of the prompt.
 	Tokens int64
+	// Streamed is true if the response is expected to begin when the prompt has been processed. A
+	// long wait for it then shows that the upstream is slow.
+	Streamed bool
 	// Exclude holds the upstreams that were already tried for the request.
 	Exclude []registrar.Name
 }
@@ -100,13 +106,28 @@
 // Result is the result of a request at an upstream.
 type Result struct {
 	Outcome Outcome
-	// Load is the load that the upstream reported in its response.
+}
+
+// Start describes the beginning of an upstream's response.
+type Start struct {
+	// Load is the load that the upstream reported in the response.
 	Load Load
+	// FirstByte is true if the response begins when the prompt has been processed. That is
+	// not so for rejections, and for responses that are sent only when they are complete.
+	FirstByte bool
 }
 
 // Choice is the upstream chosen for a request.
 type Choice struct {
 	Upstream registrar.Upstream
+	// FirstByte is the predicted time to the first byte of the response. It is zero for plain
+	// services.
+	FirstByte time.Duration
+	// chosenAt, work and slowdown are what the prediction began with.
+	id       uint64
+	chosenAt time.Time
+	work     work
+	slowdown float64
 	// prefill is the prefill time of the prompt parts that are not cached at the upstream.
 	prefill time.Duration
 	// started is true once the response has started.
@@ -155,7 +176,8 @@
 type Config struct {
 	Zone string // availability zone of the daemon
 	// Limits may be nil, in which case no upstream states a limit.
-	Limits Limits
+	Limits   Limits
+	Recorder *recorder.Recorder
 }
 
 // Balancer holds the state of all upstreams as one daemon knows it. It is safe for concurrent
@@ -167,6 +189,19 @@
 	states            map[registrar.Name]*upstreamState
 	byHash            map[uint32]*upstreamState
 	pendingPlacements []announcer.Placement
+	services          map[resolver.ServiceName]*serviceSpeed
+	views             map[resolver.ServiceName]view
+	// available and ejected are buffers of candidates.
+	available, ejected []candidate
+	lastID             uint64
+	// slowAvoided counts requests that would have gone elsewhere if all upstreams were equally fast.
+	slowAvoided metrics.Counter
+}
+
+// view has the states of a list of upstreams, which saves looking them up for each request.
+type view struct {
+	list   []registrar.Upstream
+	states []*upstreamState
 }
 
 // upstreamState is the state of one upstream.
@@ -181,12 +216,19 @@
 	prefill time.Duration
 	// parts holds the time at which each part was last sent to the upstream.
 	parts map[uint64]time.Time
-	// others holds the load of other daemons by their incarnation.
-	others map[uint32]remoteLoad
+	// others holds the load of other daemons by their incarnation. othersPrefill and
+	// othersInFlight are its sums, and none of it expires before othersExpire.
+	others         map[uint32]remoteLoad
+	othersPrefill  time.Duration
+	othersInFlight int
+	othersExpire   time.Time
 	// announced is true if the last notice contained requests in flight at the upstream.
 	announced bool
 	reported  report
-	failures  int // consecutive, since the last served request
+	speed     upstreamSpeed
+	// waiting has the requests whose response has not started, oldest first.
+	waiting  []waitingRequest
+	failures int // consecutive, since the last served request
 	// ejectedUntil is the end of the ejection. It is zero after a served request.
 	ejectedUntil time.Time
 	// trial is true while one request tests an upstream that was ejected. It keeps other
@@ -194,12 +236,24 @@
 	trial bool
 }
 
+// waitingRequest is a request whose response has not started.
+type waitingRequest struct {
+	id       uint64
+	chosenAt time.Time
+	// predicted is the predicted time to its first byte, or zero if its response is not streamed.
+	predicted time.Duration
+}
+
 // New returns a Balancer without state.
 func New(c Config) *Balancer {
 	if c.Limits == nil {
 		c.Limits = throttler.New(throttler.Config{})
 	}
-	return &Balancer{config: c, states: make(map[registrar.Name]*upstreamState), byHash: make(map[uint32]*upstreamState)}
+	return &Balancer{
+		config: c, states: make(map[registrar.Name]*upstreamState), byHash: make(map[uint32]*upstreamState),
+		services: make(map[resolver.ServiceName]*serviceSpeed), views: make(map[resolver.ServiceName]view),
+		slowAvoided: c.Recorder.Counter("balancer.slow_avoided"),
+	}
 }
 
 func (b *Balancer) state(u *registrar.Upstream) *upstreamState {
@@ -207,7 +261,7 @@
 	if s == nil || s.startedAtMs != u.StartedAtMs {
 		s = &upstreamState{
 			hash: xxhash.Sum64String(string(u.Name)), startedAtMs: u.StartedAtMs, limitID: u.LimitID(),
-			parts: make(map[uint64]time.Time), others: make(map[uint32]remoteLoad),
+			parts: make(map[uint64]time.Time), others: make(map[uint32]remoteLoad), speed: newUpstreamSpeed(),
 		}
 		b.states[u.Name] = s
 		b.byHash[uint32(s.hash)] = s
@@ -215,6 +269,34 @@
 	return s
 }
 
+// service returns what is learned about the service of a query.
+func (b *Balancer) service(q *Query) *serviceSpeed {
+	name := q.Candidates[0].Service
+	v := b.services[name]
+	if v == nil {
+		v = &serviceSpeed{prefill: 1, request: 1}
+		b.services[name] = v
+	}
+	return v
+}
+
+// statesOf returns the states of a list of upstreams. They are kept for the next call with the same
+// list, which is that of the registrar and is not changed while it is used. Callers check that a
+// state is of the upstream's present incarnation.
+func (b *Balancer) statesOf(list []registrar.Upstream) []*upstreamState {
+	name := list[0].Service
+	known := b.views[name]
+	if len(known.list) == len(list) && &known.list[0] == &list[0] {
+		return known.states
+	}
+	states := make([]*upstreamState, len(list))
+	for i := range list {
+		states[i] = b.state(&list[i])
+	}
+	b.views[name] = view{list: list, states: states}
+	return states
+}
+
 // affinityKey returns the key for rendezvous hashing: the ID of the last shared part, or of
 // the only part.
 func affinityKey(parts []Part) uint64 {
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumline/announcer"
+	"laburnumline/recorder"
 	"laburnumline/registrar"
 	"laburnumline/throttler"
 )
@@ -14,7 +15,10 @@
 type candidate struct {
 	upstream *registrar.Upstream
 	state    *upstreamState
+	// requests is the number of requests at the upstream: those of all daemons, or those that the
+	// upstream reported recently if they are more. ahead is the prefill time of those of all daemons.
 	requests float64
+	ahead    time.Duration
 	weight   uint64
 	// staleLimit is true if a request has to show whether the upstream still has a limit.
 	staleLimit bool
@@ -30,26 +34,39 @@
 	if len(candidates) == 0 {
 		return Choice{RetryAfter: b.config.Limits.RetryAfter(now, b.limitIDs(q))}, false
 	}
-	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.staleLimit }); i >= 0 {
-		candidates = candidates[i : i+1]
+	for i := range candidates {
+		if candidates[i].staleLimit {
+			candidates = candidates[i : i+1]
+			break
+		}
 	}
 	var best *candidate
-	var prefill time.Duration
+	var p prediction
 	if q.Engine {
-		best, prefill = lowestCost(now, candidates, q)
+		best, p = b.lowestCost(now, candidates, &q, b.service(&q))
 	} else {
 		best = b.fewestRequests(candidates)
 	}
 	b.config.Limits.Take(now, best.state.limitID)
-	b.begin(now, best.state, q, prefill)
-	return Choice{Upstream: *best.upstream, prefill: prefill}, true
+	b.lastID++
+	c := Choice{
+		Upstream: *best.upstream, FirstByte: p.firstByte, id: b.lastID, chosenAt: now, work: p.work,
+		slowdown: best.state.speed.slowdown(now), prefill: p.prefill,
+	}
+	b.begin(now, best.state, &q, &c)
+	return c, true
 }
 
 // begin counts a request at an upstream.
-func (b *Balancer) begin(now time.Time, s *upstreamState, q Query, prefill time.Duration) {
+func (b *Balancer) begin(now time.Time, s *upstreamState, q *Query, c *Choice) {
 	s.inFlight++
 	s.pending++
-	s.prefill += prefill
+	s.prefill += c.prefill
+	waiting := waitingRequest{id: c.id, chosenAt: now}
+	if q.Streamed {
+		waiting.predicted = c.FirstByte
+	}
+	s.waiting = append(s.waiting, waiting)
 	if !s.ejectedUntil.IsZero() {
 		s.trial = true
 	}
@@ -82,22 +99,31 @@
 // it are left out. Ejected ones are included only if there are no others, or if more than half of
 // more than three upstreams are ejected.
 func (b *Balancer) candidates(now time.Time, q Query) []candidate {
-	var available, ejected []candidate
+	if len(q.Candidates) == 0 {
+		return nil
+	}
+	available, ejected := b.available[:0], b.ejected[:0]
+	states := b.statesOf(q.Candidates)
 	for i := range q.Candidates {
 		u := &q.Candidates[i]
 		if slices.Contains(q.Exclude, u.Name) {
 			continue
 		}
-		s := b.state(u)
+		s := states[i]
+		if s.startedAtMs != u.StartedAtMs {
+			s = b.state(u)
+			states[i] = s
+		}
 		if !b.config.Limits.Allows(now, s.limitID) {
 			continue
 		}
-		requests := s.requests(now)
+		othersPrefill, othersInFlight := s.othersLoad(now)
+		requests := max(float64(s.inFlight+othersInFlight), float64(s.reported.requests(now)))
 		freeSlots := max(u.Slots-int(requests), 0)
 		if limit := b.config.Limits.MaxPending(now, string(u.Service), len(q.Candidates), s.limitID, freeSlots); limit != 0 && (s.pending >= limit || requests >= float64(u.Slots)) {
 			continue
 		}
-		c := candidate{upstream: u, state: s, requests: requests, staleLimit: b.config.Limits.IsStale(now, s.limitID)}
+		c := candidate{upstream: u, state: s, requests: requests, ahead: s.prefill + othersPrefill, staleLimit: b.config.Limits.IsStale(now, s.limitID)}
 		if s.isEjected(now) {
 			c.staleLimit = false
 			ejected = append(ejected, c)
@@ -105,6 +131,7 @@
 			available = append(available, c)
 		}
 	}
+	b.available, b.ejected = available, ejected // keep what append has allocated
 	if len(ejected) > len(available) && len(q.Candidates) > 3 {
 		return append(available, ejected...)
 	}
@@ -129,17 +156,9 @@
 	return !s.ejectedUntil.IsZero() && (now.Before(s.ejectedUntil) || s.trial)
 }
 
-// requests returns the number of requests at the upstream: those of all daemons, or those
-// that the upstream reported recently if they are more.
-func (s *upstreamState) requests(now time.Time) float64 {
-	_, othersInFlight := s.othersLoad(now)
-	inFlight := float64(s.inFlight + othersInFlight)
-	return max(inFlight, float64(s.reported.requests(now)))
-}
-
-// lowestCost returns the upstream at which the request has the lowest cost, and the prefill
-// time there.
-func lowestCost(now time.Time, candidates []candidate, q Query) (*candidate, time.Duration) {
+// lowestCost returns the upstream at which the request has the lowest cost, and what is predicted
+// there.
+func (b *Balancer) lowestCost(now time.Time, candidates []candidate, q *Query, service *serviceSpeed) (*candidate, prediction) {
 	key := affinityKey(q.Parts)
 	preferred := 0
 	for i := range candidates {
@@ -148,23 +167,28 @@
 			preferred = i
 		}
 	}
-	best, lowest, bestPrefill := 0, time.Duration(0), time.Duration(0)
+	best, lowest := 0, prediction{}
+	evenBest, evenLowest := 0, time.Duration(0)
 	for i := range candidates {
-		s := candidates[i].state
-		prefill := prefillTime(s.uncachedTokens(now, q, i == preferred))
-		othersPrefill, _ := s.othersLoad(now)
-		cost := prefillWeight*prefill + s.prefill + othersPrefill + time.Duration(candidates[i].requests*float64(requestCost))
-		if i == 0 || cost < lowest || cost == lowest && candidates[i].weight > candidates[best].weight {
-			best, lowest, bestPrefill = i, cost, prefill
+		c := &candidates[i]
+		p := c.predict(now, q, service, i == preferred)
+		if i == 0 || p.evenCost < evenLowest || p.evenCost == evenLowest && c.weight > candidates[evenBest].weight {
+			evenBest, evenLowest = i, p.evenCost
 		}
+		if i == 0 || p.cost < lowest.cost || p.cost == lowest.cost && c.weight > candidates[best].weight {
+			best, lowest = i, p
+		}
+	}
+	if evenBest != best {
+		b.slowAvoided.Inc(1)
 	}
-	return &candidates[best], bestPrefill
+	return &candidates[best], lowest
 }
 
 // uncachedTokens returns how many tokens of a prompt need prefill at the upstream: all that
 // follow the first uncached part, which is included. At the preferred upstream, half of each
 // part that is not known to be cached counts as cached.
-func (s *upstreamState) uncachedTokens(now time.Time, q Query, preferred bool) int64 {
+func (s *upstreamState) uncachedTokens(now time.Time, q *Query, preferred bool) int64 {
 	uncached := q.Tokens
 	for _, part := range sharedParts(q.Parts) {
 		sentAt, sent := s.parts[part.ID]
@@ -208,16 +232,55 @@
 
 // ResponseStarted records that the response has started, which means that prefill is
 // complete.
-func (b *Balancer) ResponseStarted(c *Choice) {
+func (b *Balancer) ResponseStarted(now time.Time, c *Choice, r Start) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.stateOf(c); s != nil && !c.started {
-		s.prefill = max(s.prefill-c.prefill, 0)
-		s.pending = max(s.pending-1, 0)
+		s.endWait(c)
+		s.reported.record(now, r.Load)
+		if service := b.services[c.Upstream.Service]; r.FirstByte && service != nil && c.FirstByte > 0 {
+			slowdown := c.slowdown
+			if r.Load.Slowdown > 0 {
+				slowdown = clamp(max(slowdown, r.Load.Slowdown), minFactor, maxFactor)
+			}
+			b.observe(now, service, s, c, slowdown)
+		}
+		s.speed.report(now, r.Load.Slowdown)
 	}
 	c.started = true
 }
 
+// observe learns from the time to the first byte of a request.
+func (b *Balancer) observe(now time.Time, service *serviceSpeed, s *upstreamState, c *Choice, slowdown float64) {
+	p := &s.speed
+	usual, trusted := p.usual, p.trusted()
+	took := max(now.Sub(c.chosenAt), time.Millisecond)
+	corrected := took
+	if trusted {
+		corrected = time.Duration(float64(took) / slowdown)
+	}
+	service.learn(c.work, corrected)
+	p.learn(now, service.predict(c.work), took, slowdown)
+	if (usual == 1) != (p.usual == 1) {
+		b.config.Recorder.Event(recorder.UpstreamSpeed, "upstream", c.Upstream.Name, "service", c.Upstream.Service, "factor", p.usual)
+	}
+	if trusted != p.trusted() {
+		b.config.Recorder.Event(recorder.ReportDistrusted, "upstream", c.Upstream.Name, "service", c.Upstream.Service, "trusted", p.trusted())
+	}
+}
+
+// endWait removes a request from those whose response has not started.
+func (s *upstreamState) endWait(c *Choice) {
+	s.prefill = max(s.prefill-c.prefill, 0)
+	s.pending = max(s.pending-1, 0)
+	for i := range s.waiting {
+		if s.waiting[i].id == c.id {
+			s.waiting = slices.Delete(s.waiting, i, i+1)
+			return
+		}
+	}
+}
+
 // stateOf returns the state of the chosen upstream, or nil if it was removed or the upstream
 // has restarted.
 func (b *Balancer) stateOf(c *Choice) *upstreamState {
@@ -230,15 +293,17 @@
 
 // End records the result of a request at the chosen upstream.
 func (b *Balancer) End(now time.Time, c *Choice, r Result) {
-	b.ResponseStarted(c)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stateOf(c)
 	if s == nil {
 		return
 	}
+	if !c.started {
+		s.endWait(c)
+		c.started = true
+	}
 	s.inFlight = max(s.inFlight-1, 0)
-	s.reported.record(now, r.Load)
 	s.recordOutcome(now, r.Outcome)
 }
 
@@ -269,6 +334,7 @@
 func (b *Balancer) RemoveUnlisted(listed func(registrar.Name) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	clear(b.views)
 	for name, s := range b.states {
 		if !listed(name) {
 			delete(b.states, name)
--- a/balancer/notices.go
+++ b/balancer/notices.go
@@ -52,13 +52,9 @@
 		if s == nil {
 			continue
 		}
-		if l.InFlight == 0 {
-			delete(s.others, notice.From)
-			continue
-		}
-		s.others[notice.From] = remoteLoad{
+		s.setOthersLoad(notice.From, remoteLoad{
 			prefill: time.Duration(l.Reading) * time.Millisecond, inFlight: int(l.InFlight), receivedAt: now,
-		}
+		})
 	}
 	for _, placed := range notice.Placed {
 		if s := b.byHash[placed.Upstream]; s != nil {
@@ -67,19 +63,43 @@
 	}
 }
 
+// setOthersLoad replaces the load of one other daemon.
+func (s *upstreamState) setOthersLoad(from uint32, r remoteLoad) {
+	if old, ok := s.others[from]; ok {
+		s.othersPrefill -= old.prefill
+		s.othersInFlight -= old.inFlight
+	}
+	if r.inFlight == 0 {
+		delete(s.others, from)
+		return
+	}
+	if expire := r.receivedAt.Add(noticeLifetime); len(s.others) == 0 || expire.Before(s.othersExpire) {
+		s.othersExpire = expire
+	}
+	s.others[from] = r
+	s.othersPrefill += r.prefill
+	s.othersInFlight += r.inFlight
+}
+
 // othersLoad returns the prefill time and the requests in flight of all other daemons at the
 // upstream. It deletes loads that are older than noticeLifetime.
 func (s *upstreamState) othersLoad(now time.Time) (time.Duration, int) {
-	prefill, inFlight := time.Duration(0), 0
+	if len(s.others) == 0 || !now.After(s.othersExpire) {
+		return s.othersPrefill, s.othersInFlight
+	}
+	s.othersExpire, s.othersPrefill, s.othersInFlight = now.Add(noticeLifetime), 0, 0
 	for from, r := range s.others {
 		if now.Sub(r.receivedAt) > noticeLifetime {
 			delete(s.others, from)
 			continue
 		}
-		prefill += r.prefill
-		inFlight += r.inFlight
+		if expire := r.receivedAt.Add(noticeLifetime); expire.Before(s.othersExpire) {
+			s.othersExpire = expire
+		}
+		s.othersPrefill += r.prefill
+		s.othersInFlight += r.inFlight
 	}
-	return prefill, inFlight
+	return s.othersPrefill, s.othersInFlight
 }
 
 // addPart records that a part was sent to the upstream.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -12,6 +12,7 @@
 	"laburnumline/recorder"
 	"laburnumline/refuser"
 	"laburnumline/registrar"
+	"laburnumline/resolver"
 	"laburnumline/retrier"
 	"laburnumline/sleeper"
 	"laburnumline/throttler"
@@ -119,6 +120,7 @@
 		Parts:      x.request.PromptParts,
 		Engine:     x.service.Engine,
 		Tokens:     int64(x.request.PromptTokens),
+		Streamed:   x.route.Repeatability == resolver.Stream,
 		Exclude:    x.tried,
 	}
 }
@@ -142,8 +144,9 @@
 		if response.Metadata.Leaving {
 			f.Upstreams.MarkLeaving(&choice.Upstream)
 		}
-		result.Load = response.Metadata.Load
-		f.Balancer.ResponseStarted(&choice)
+		f.Balancer.ResponseStarted(time.Now(), &choice, balancer.Start{
+			Load: response.Metadata.Load, FirstByte: !response.Metadata.NotRun && x.isStream(response),
+		})
 		failed = x.handleResponse(response)
 		response.Close()
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,7 +113,7 @@
 // Balancer chooses upstreams.
 type Balancer interface {
 	Choose(now time.Time, q balancer.Query) (balancer.Choice, bool)
-	ResponseStarted(c *balancer.Choice)
+	ResponseStarted(now time.Time, c *balancer.Choice, s balancer.Start)
 	End(now time.Time, c *balancer.Choice, r balancer.Result)
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -198,7 +198,7 @@
 	})
 	d.pinner = pinner.New(pinner.Config{Self: s.streamAddress(), Peers: d.streamPeers, Send: d.sendStreamMessage, Recorder: rec})
 	d.throttler = throttler.New(throttler.Config{Self: s.InternalAddress, Members: d.knownPeers, Changed: d.hastenNotice, Recorder: rec})
-	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler})
+	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler, Recorder: rec})
 	d.pool = connector.New(connector.Config{
 		Dial: dialUpstream, ReadMetadata: c.Adapter.ParseResponseHeader, Recorder: rec,
 	})
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -42,6 +42,12 @@
 	// ServiceBrittle is logged when an upstream states how many requests it can reject, for the first
 	// time or another number than before.
 	ServiceBrittle Code = 2005
+	// UpstreamSpeed is logged when an upstream is found to be slower or faster than its service, or no
+	// longer.
+	UpstreamSpeed Code = 2011
+	// ReportDistrusted is logged when the slowdowns that an upstream reports begin or cease to
+	// contradict its response times.
+	ReportDistrusted Code = 2012
 	// ServiceReachability is logged when this daemon reaches no upstream of a service any more, or
 	// one again.
 	ServiceReachability Code = 2305
@@ -90,6 +96,8 @@
 	UpstreamLeaving:     "upstream_leaving",
 	ServiceReachability: "service_reachability",
 	ServiceBrittle:      "service_brittle",
+	UpstreamSpeed:       "upstream_speed",
+	ReportDistrusted:    "report_distrusted",
 	RequestRefused:      "request_refused",
 	AttemptFailed:       "attempt_failed",
 	AnswerBroken:        "answer_broken",
