balancer: priorities and committed tokens

All work at an upstream counted as ahead of a request, though upstreams process more urgent requests first, so urgent requests left the upstreams with their cached parts because of queues that they pass. Only work that is at least as urgent counts now; that of other daemons, whose notices have sums only, in proportion to the priorities of this daemon's requests. A first byte that is predicted later than the target of its route adds to the cost, less for less urgent requests.

An upstream whose memory a request may exceed (prompt and maximum output of the requests in flight, the mean for those of other daemons or that only a report shows) gets no request while another has room; if none has, the cost decides as before and balancer.memory_exceeded counts it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -69,6 +69,13 @@
 	Engine bool
 	// Tokens is the length of the prompt.
 	Tokens int64
+	// MaxOutput is the maximum number of output tokens, and Memory how many tokens an upstream holds, or
+	// zero if that is unknown.
+	MaxOutput, Memory int64
+	// Priority is from 0 to 9. Upstreams process requests with a lower number first.
+	Priority int
+	// Target is the time within which the response should begin, or zero.
+	Target time.Duration
 	// Streamed is true if the response is expected to begin when the prompt has been processed. A
 	// long wait for it then shows that the upstream is slow.
 	Streamed bool
@@ -128,8 +135,11 @@
 	chosenAt time.Time
 	work     work
 	slowdown float64
-	// prefill is the prefill time of the prompt parts that are not cached at the upstream.
-	prefill time.Duration
+	// prefill is the prefill time of the prompt parts that are not cached at the upstream. It counts
+	// there under the priority, and tokens count as committed.
+	prefill  time.Duration
+	priority int
+	tokens   int64
 	// started is true once the response has started.
 	started bool
 	// RetryAfter is set if no upstream was chosen because of request limits or pauses: the
@@ -194,7 +204,11 @@
 	// available and ejected are buffers of candidates.
 	available, ejected []candidate
 	lastID             uint64
-	// slowAvoided counts requests that would have gone elsewhere if all upstreams were equally fast.
+	// memoryAvoided counts choices in which an upstream was left out because its memory would have
+	// been exceeded, memoryExceeded those in which that was so at all upstreams.
+	memoryAvoided, memoryExceeded metrics.Counter
+	// slowAvoided counts requests that would have gone elsewhere if all upstreams were equally fast
+	// and lateness had no cost.
 	slowAvoided metrics.Counter
 }
 
@@ -212,8 +226,12 @@
 	inFlight    int
 	// pending is the number of requests whose response has not started.
 	pending int
-	// prefill is the prefill time of the requests whose response has not started.
-	prefill time.Duration
+	// prefill is the prefill time of the requests whose response has not started, and prefillBy
+	// the same by priority.
+	prefill   time.Duration
+	prefillBy byPriority
+	// committed is the prompt and maximum output of the requests in flight, in tokens.
+	committed int64
 	// parts holds the time at which each part was last sent to the upstream.
 	parts map[uint64]time.Time
 	// others holds the load of other daemons by their incarnation. othersPrefill and
@@ -252,7 +270,9 @@
 	return &Balancer{
 		config: c, states: make(map[registrar.Name]*upstreamState), byHash: make(map[uint32]*upstreamState),
 		services: make(map[resolver.ServiceName]*serviceSpeed), views: make(map[resolver.ServiceName]view),
-		slowAvoided: c.Recorder.Counter("balancer.slow_avoided"),
+		slowAvoided:    c.Recorder.Counter("balancer.slow_avoided"),
+		memoryAvoided:  c.Recorder.Counter("balancer.memory_avoided"),
+		memoryExceeded: c.Recorder.Counter("balancer.memory_exceeded"),
 	}
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -221,3 +221,66 @@
 	c, _ = b.Choose(now.Add(6*time.Second), q)
 	require.Equal(t, q.Candidates[other].Name, c.Upstream.Name)
 }
+
+// Guards against urgent requests that avoid the upstream with their cached parts because of a queue
+// that they pass.
+func TestUrgentRequestsPassTheQueue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	q := prompt(7)
+	preferred, _ := b.Choose(now, q)
+	b.End(now, &preferred, Result{})
+	queue := Query{Engine: true, Priority: 9, Tokens: 20_000, Candidates: slices.DeleteFunc(slices.Clone(q.Candidates), func(u registrar.Upstream) bool {
+		return u.Name != preferred.Upstream.Name
+	})}
+	for range 8 {
+		b.Choose(now, queue)
+	}
+	c, _ := b.Choose(now, q)
+	require.Equal(t, preferred.Upstream.Name, c.Upstream.Name)
+	q.Priority = 9
+	c, _ = b.Choose(now, q)
+	require.NotEqual(t, preferred.Upstream.Name, c.Upstream.Name, "it waits behind the others")
+}
+
+// An upstream crashes when it holds more tokens than its memory. It gets no request that may exceed
+// it while another has room, whether its requests are of this daemon, announced or reported.
+func TestMemoryIsNotExceeded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := prompt(7)
+	q.MaxOutput, q.Memory = 3000, 100_000
+	fill := []struct {
+		name string
+		fill func(b *Balancer, preferred Choice)
+	}{
+		{"own", func(b *Balancer, preferred Choice) {
+			only := q
+			only.Candidates = slices.DeleteFunc(slices.Clone(q.Candidates), func(u registrar.Upstream) bool { return u.Name != preferred.Upstream.Name })
+			for range 4 {
+				c, _ := b.Choose(now, only)
+				b.ResponseStarted(now, &c, Start{})
+			}
+		}},
+		{"announced", func(b *Balancer, preferred Choice) {
+			hash := uint32(b.states[preferred.Upstream.Name].hash)
+			b.Receive(now, &announcer.Notice{From: 1, Loads: []announcer.Load{{Upstream: hash, InFlight: 4}}})
+		}},
+		{"reported", func(b *Balancer, preferred Choice) {
+			b.ResponseStarted(now, &preferred, Start{Load: Load{Running: NewFigure(5)}})
+		}},
+	}
+	for _, tt := range fill {
+		t.Run(tt.name, func(t *testing.T) {
+			b := New(Config{})
+			preferred, _ := b.Choose(now, q)
+			tt.fill(b, preferred)
+			c, ok := b.Choose(now, q)
+			require.True(t, ok)
+			require.NotEqual(t, preferred.Upstream.Name, c.Upstream.Name)
+			only := q
+			only.Candidates = []registrar.Upstream{preferred.Upstream}
+			_, ok = b.Choose(now, only)
+			require.True(t, ok, "the estimate alone refuses nothing")
+		})
+	}
+}
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -16,10 +16,13 @@
 	upstream *registrar.Upstream
 	state    *upstreamState
 	// requests is the number of requests at the upstream: those of all daemons, or those that the
-	// upstream reported recently if they are more. ahead is the prefill time of those of all daemons.
-	requests float64
-	ahead    time.Duration
-	weight   uint64
+	// upstream reported recently if they are more. othersPrefill is the prefill time of those of other
+	// daemons, ahead that of those of all daemons that are at least as urgent.
+	requests             float64
+	othersPrefill, ahead time.Duration
+	weight               uint64
+	// full is true if the request would exceed the memory of the upstream.
+	full bool
 	// staleLimit is true if a request has to show whether the upstream still has a limit.
 	staleLimit bool
 }
@@ -30,6 +33,7 @@
 func (b *Balancer) Choose(now time.Time, q Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	q.Priority = min(max(q.Priority, 0), priorities-1)
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
 		return Choice{RetryAfter: b.config.Limits.RetryAfter(now, b.limitIDs(q))}, false
@@ -48,10 +52,15 @@
 		best = b.fewestRequests(candidates)
 	}
 	b.config.Limits.Take(now, best.state.limitID)
+	if q.Engine {
+		service := b.service(&q)
+		service.mix.add(q.Priority, q.Tokens)
+		service.recordTokens(q.Tokens + q.MaxOutput)
+	}
 	b.lastID++
 	c := Choice{
 		Upstream: *best.upstream, FirstByte: p.firstByte, id: b.lastID, chosenAt: now, work: p.work,
-		slowdown: best.state.speed.slowdown(now), prefill: p.prefill,
+		slowdown: best.state.speed.slowdown(now), prefill: p.prefill, priority: q.Priority, tokens: q.Tokens + q.MaxOutput,
 	}
 	b.begin(now, best.state, &q, &c)
 	return c, true
@@ -62,6 +71,8 @@
 	s.inFlight++
 	s.pending++
 	s.prefill += c.prefill
+	s.prefillBy[c.priority] += c.prefill
+	s.committed += c.tokens
 	waiting := waitingRequest{id: c.id, chosenAt: now}
 	if q.Streamed {
 		waiting.predicted = c.FirstByte
@@ -123,7 +134,7 @@
 		if limit := b.config.Limits.MaxPending(now, string(u.Service), len(q.Candidates), s.limitID, freeSlots); limit != 0 && (s.pending >= limit || requests >= float64(u.Slots)) {
 			continue
 		}
-		c := candidate{upstream: u, state: s, requests: requests, ahead: s.prefill + othersPrefill, staleLimit: b.config.Limits.IsStale(now, s.limitID)}
+		c := candidate{upstream: u, state: s, requests: requests, othersPrefill: othersPrefill, staleLimit: b.config.Limits.IsStale(now, s.limitID)}
 		if s.isEjected(now) {
 			c.staleLimit = false
 			ejected = append(ejected, c)
@@ -161,21 +172,34 @@
 func (b *Balancer) lowestCost(now time.Time, candidates []candidate, q *Query, service *serviceSpeed) (*candidate, prediction) {
 	key := affinityKey(q.Parts)
 	preferred := 0
+	asUrgent, moreUrgent := service.mix.share(q.Priority)
+	needed, fullCount := newMemory(q, service, moreUrgent), 0
 	for i := range candidates {
+		c := &candidates[i]
+		c.ahead = c.state.prefillBy.upTo(q.Priority) + time.Duration(asUrgent*float64(c.othersPrefill))
+		if c.full = !needed.fits(c.state.committed, c.requests-float64(c.state.inFlight)); c.full {
+			fullCount++
+		}
+		c.requests -= (1 - asUrgent) * max(c.requests-float64(c.upstream.Slots), 0) // those that wait behind this one
 		candidates[i].weight = rendezvousWeight(key, candidates[i].state.hash)
 		if candidates[i].weight > candidates[preferred].weight {
 			preferred = i
 		}
 	}
-	best, lowest := 0, prediction{}
-	evenBest, evenLowest := 0, time.Duration(0)
+	b.countFull(fullCount, len(candidates))
+	best, lowest := -1, prediction{}
+	evenBest, evenLowest := -1, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
+		if c.full && fullCount < len(candidates) {
+			continue
+		}
 		p := c.predict(now, q, service, i == preferred)
-		if i == 0 || p.evenCost < evenLowest || p.evenCost == evenLowest && c.weight > candidates[evenBest].weight {
+		p.cost += lateness(p.firstByte, q.Target, moreUrgent)
+		if evenBest < 0 || p.evenCost < evenLowest || p.evenCost == evenLowest && c.weight > candidates[evenBest].weight {
 			evenBest, evenLowest = i, p.evenCost
 		}
-		if i == 0 || p.cost < lowest.cost || p.cost == lowest.cost && c.weight > candidates[best].weight {
+		if best < 0 || p.cost < lowest.cost || p.cost == lowest.cost && c.weight > candidates[best].weight {
 			best, lowest = i, p
 		}
 	}
@@ -185,6 +209,16 @@
 	return &candidates[best], lowest
 }
 
+// countFull counts a choice in which the request did not fit into the memory of some upstreams.
+func (b *Balancer) countFull(full, all int) {
+	switch {
+	case full == all:
+		b.memoryExceeded.Inc(1)
+	case full > 0:
+		b.memoryAvoided.Inc(1)
+	}
+}
+
 // uncachedTokens returns how many tokens of a prompt need prefill at the upstream: all that
 // follow the first uncached part, which is included. At the preferred upstream, half of each
 // part that is not known to be cached counts as cached.
@@ -253,7 +287,7 @@
 // observe learns from the time to the first byte of a request.
 func (b *Balancer) observe(now time.Time, service *serviceSpeed, s *upstreamState, c *Choice, slowdown float64) {
 	p := &s.speed
-	usual, trusted := p.usual, p.trusted()
+	trusted := p.trusted()
 	took := max(now.Sub(c.chosenAt), time.Millisecond)
 	corrected := took
 	if trusted {
@@ -261,7 +295,7 @@
 	}
 	service.learn(c.work, corrected)
 	p.learn(now, service.predict(c.work), took, slowdown)
-	if (usual == 1) != (p.usual == 1) {
+	if p.changed() {
 		b.config.Recorder.Event(recorder.UpstreamSpeed, "upstream", c.Upstream.Name, "service", c.Upstream.Service, "factor", p.usual)
 	}
 	if trusted != p.trusted() {
@@ -272,6 +306,7 @@
 // endWait removes a request from those whose response has not started.
 func (s *upstreamState) endWait(c *Choice) {
 	s.prefill = max(s.prefill-c.prefill, 0)
+	s.prefillBy[c.priority] = max(s.prefillBy[c.priority]-c.prefill, 0)
 	s.pending = max(s.pending-1, 0)
 	for i := range s.waiting {
 		if s.waiting[i].id == c.id {
@@ -304,6 +339,7 @@
 		c.started = true
 	}
 	s.inFlight = max(s.inFlight-1, 0)
+	s.committed = max(s.committed-c.tokens, 0)
 	s.recordOutcome(now, r.Outcome)
 }
 
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -64,7 +64,7 @@
 		e.cached[p.ID] = true
 	}
 	i := len(e.waiting)
-	for i > 1 && urgency(e.waiting[i-1]) > urgency(r) {
+	for i > 1 && e.waiting[i-1].query.Priority > r.query.Priority {
 		i--
 	}
 	e.waiting = slices.Insert(e.waiting, i, r)
@@ -261,4 +261,35 @@
 	}
 }
 
-func urgency(*simRequest) int { return 0 }
+// A burst of least urgent requests must not make urgent ones late: upstreams process these first, so
+// they lose by going away from their cached parts.
+func TestUrgentRequestsAreServedBesideABurst(t *testing.T) {
+	var engines []*engine
+	for range 9 {
+		engines = append(engines, &engine{speed: 1})
+	}
+	urgent, other := mixed(40), mixed(200)
+	all := simulate(New(Config{}), engines, 25*time.Second, func(at time.Duration, random *rand.Rand) []*simRequest {
+		list := urgent(at, random)
+		for _, r := range list {
+			r.query.Target = 300 * time.Millisecond
+		}
+		if at > 8*time.Second && at < 18*time.Second {
+			for _, r := range other(at, random) {
+				r.query.Priority, r.query.Target = 9, 8*time.Second
+				list = append(list, r)
+			}
+		}
+		return list
+	})
+	var first, rest []*simRequest
+	for _, r := range all {
+		if r.query.Priority == 0 {
+			first = append(first, r)
+		} else {
+			rest = append(rest, r)
+		}
+	}
+	t.Log(quantile(first, 0.5), quantile(first, 0.95), quantile(first, 0.99), quantile(rest, 0.5), quantile(rest, 0.95), quantile(rest, 0.99))
+	require.Less(t, quantile(first, 0.99), 300*time.Millisecond)
+}
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -28,6 +28,8 @@
 	// usualTolerance and recentTolerance are the deviations that are not used. They are due to the
 	// uncertain contents of caches, and must not move requests away from their cached parts.
 	usualTolerance, recentTolerance = 1.15, 1.5
+	// unevenFactor is the learned factor from which an upstream is logged as slower or faster.
+	unevenFactor = 1.3
 	// recentLifetime is the time in which the recent factor fades. Slowdowns last about 600 ms.
 	recentLifetime = 800 * time.Millisecond
 	// weightTime is the predicted time at which an observation has half its weight. Shorter ones
@@ -52,6 +54,9 @@
 type serviceSpeed struct {
 	prefill, request float64
 	observations     int
+	mix              priorityMix
+	// meanTokens is the mean of prompt and maximum output of a request.
+	meanTokens float64
 }
 
 // predict returns the time that the work takes at a usual upstream of the service.
@@ -82,6 +87,8 @@
 	observations float64 // weighted
 	// usual is the learned factor as it is used. It is 1 within the tolerance.
 	usual float64
+	// uneven is true if the factor was beyond unevenFactor and has not been 1 since.
+	uneven bool
 	// recent is what the last observations were beyond the learned and the reported factor, at
 	// least 1.
 	recent   float64
@@ -172,6 +179,14 @@
 	}
 }
 
+// changed reports whether the upstream has become uneven or ceased to be so since the last call.
+func (p *upstreamSpeed) changed() bool {
+	uneven := p.uneven && p.usual != 1 || p.usual > unevenFactor || p.usual < 1/unevenFactor
+	changed := uneven != p.uneven
+	p.uneven = uneven
+	return changed
+}
+
 // overdue returns the factor that the longest wait of a request for its first byte shows, or 1 if it
 // shows no slowdown.
 func overdue(waited, predicted time.Duration) float64 {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -120,6 +120,10 @@
 		Parts:      x.request.PromptParts,
 		Engine:     x.service.Engine,
 		Tokens:     int64(x.request.PromptTokens),
+		MaxOutput:  int64(x.request.MaxOutputTokens),
+		Memory:     x.service.CacheTokens,
+		Priority:   x.priority(),
+		Target:     x.route.TargetLatency,
 		Streamed:   x.route.Repeatability == resolver.Stream,
 		Exclude:    x.tried,
 	}
