balancer: refusals that are due are immediate, with a predicted Retry-After

Retry-After was 300 or 500 ms whatever the state, and a request for which no upstream had room was tried at several first.

A request is refused at once when all upstreams have just rejected requests for lack of capacity (queue_full; an upstream counts as full for the mean time until one of its slots is free, 20 to 250 ms), or when the predicted time to first byte exceeds 0.9 of the time left at every upstream (deadline_unmeetable). The latter needs recent observations and requests at all upstreams, so that a wrong prediction ends by itself. While upstreams are congested, an account that asks for more than twice an equal share is thinned out to that. A response that has begun is not refused. Retry-After is the predicted time until there is room also for those refused before, times 0.75 to 1.5, from 100 ms to 5 s and a third of the time left; Limited refusals keep the time of their limit. An upstream that has just rejected a request is avoided while another has room.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -40,6 +40,7 @@
 	"encoding/binary"
 	"fmt"
 	"iter"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -47,6 +48,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"laburnumline/announcer"
+	"laburnumline/contractor"
 	"laburnumline/recorder"
 	"laburnumline/registrar"
 	"laburnumline/resolver"
@@ -76,6 +78,13 @@
 	Priority int
 	// Target is the time within which the response should begin, or zero.
 	Target time.Duration
+	// TimeLeft is the time until the deadline of the caller, or zero if there is none.
+	TimeLeft time.Duration
+	// Account is the client account, or empty.
+	Account contractor.Account
+	// Started is true if a part of the response has been delivered. The request is then not refused
+	// while an upstream is left, because that would break the response.
+	Started bool
 	// Streamed is true if the response is expected to begin when the prompt has been processed. A
 	// long wait for it then shows that the upstream is slow.
 	Streamed bool
@@ -142,8 +151,9 @@
 	tokens   int64
 	// started is true once the response has started.
 	started bool
-	// RetryAfter is set if no upstream was chosen because of request limits or pauses: the
-	// expected time until one of them accepts another request.
+	// Reason and RetryAfter are set if no upstream was chosen: why, and the expected time until one
+	// accepts the request.
+	Reason     Reason
 	RetryAfter time.Duration
 }
 
@@ -188,6 +198,8 @@
 	// Limits may be nil, in which case no upstream states a limit.
 	Limits   Limits
 	Recorder *recorder.Recorder
+	// Random returns numbers from 0 to below 1. Nil means rand.Float64.
+	Random func() float64
 }
 
 // Balancer holds the state of all upstreams as one daemon knows it. It is safe for concurrent
@@ -245,8 +257,10 @@
 	reported  report
 	speed     upstreamSpeed
 	// waiting has the requests whose response has not started, oldest first.
-	waiting  []waitingRequest
-	failures int // consecutive, since the last served request
+	waiting []waitingRequest
+	// fullUntil is how long the upstream counts as full after it has rejected a request.
+	fullUntil time.Time
+	failures  int // consecutive, since the last served request
 	// ejectedUntil is the end of the ejection. It is zero after a served request.
 	ejectedUntil time.Time
 	// trial is true while one request tests an upstream that was ejected. It keeps other
@@ -267,6 +281,9 @@
 	if c.Limits == nil {
 		c.Limits = throttler.New(throttler.Config{})
 	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
 	return &Balancer{
 		config: c, states: make(map[registrar.Name]*upstreamState), byHash: make(map[uint32]*upstreamState),
 		services: make(map[resolver.ServiceName]*serviceSpeed), views: make(map[resolver.ServiceName]view),
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -284,3 +284,104 @@
 		})
 	}
 }
+
+// When all upstreams have just rejected requests, further attempts only delay the refusal. The state
+// must pass by itself, as nothing else shows that there is room again.
+func TestFullServiceRefusesAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	q := prompt(7)
+	q.TimeLeft = 3 * time.Second
+	for i := range q.Candidates {
+		one := q
+		one.Candidates = q.Candidates[i : i+1]
+		c, ok := b.Choose(now, one)
+		require.True(t, ok)
+		b.End(now, &c, Result{Outcome: Full})
+		_, ok = b.Choose(now, q)
+		require.Equal(t, i < len(q.Candidates)-1, ok, "another one may have room")
+	}
+	c, ok := b.Choose(now, q)
+	require.False(t, ok)
+	require.Equal(t, AllFull, c.Reason)
+	require.LessOrEqual(t, c.RetryAfter, time.Second)
+	q.Exclude = []registrar.Name{"i-0", "i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"}
+	c, _ = b.Choose(now, q)
+	require.Equal(t, AllFull, c.Reason, "all were tried")
+	q.Exclude, q.Started = nil, true
+	started, ok := b.Choose(now, q)
+	require.True(t, ok, "a response that has begun is not broken off")
+	b.End(now, &started, Result{Outcome: Full})
+	q.Started = false
+	_, ok = b.Choose(now.Add(maxFull), q)
+	require.True(t, ok)
+}
+
+// A wrong prediction must not refuse all requests of a service for ever, and congestion refuses only
+// what exceeds the share of an account.
+func TestAdmission(t *testing.T) {
+	late := admission{firstByte: 2 * time.Second, busy: true, timeLeft: time.Second, reliable: true, upstreams: 9}
+	tests := []struct {
+		name   string
+		change func(a *admission)
+		reason Reason
+		want   bool
+	}{
+		{"too late", func(*admission) {}, TooLate, true},
+		{"an upstream is idle", func(a *admission) { a.busy = false }, 0, false},
+		{"no recent observations", func(a *admission) { a.reliable = false }, 0, false},
+		{"no deadline", func(a *admission) { a.timeLeft = 0 }, 0, false},
+		{"in time", func(a *admission) { a.timeLeft = 3 * time.Second }, 0, false},
+		{"in time, over its share", func(a *admission) { a.timeLeft, a.excess, a.random = 3*time.Second, 0.5, 0.4 }, OverShare, true},
+		{"within its share by chance", func(a *admission) { a.timeLeft, a.excess, a.random = 3*time.Second, 0.5, 0.6 }, 0, false},
+		{"over its share, not congested", func(a *admission) { a.timeLeft, a.excess = 30*time.Second, 0.5 }, 0, false},
+		{"half of the upstreams full", func(a *admission) { a.timeLeft, a.excess, a.full = 30*time.Second, 0.5, 5 }, OverShare, true},
+		{"all full", func(a *admission) { a.timeLeft, a.full = 30*time.Second, 9 }, AllFull, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := late
+			tt.change(&a)
+			reason, refused := a.refuse()
+			require.Equal(t, tt.want, refused)
+			if refused {
+				require.Equal(t, tt.reason, reason)
+			}
+		})
+	}
+}
+
+// Callers that are told the same time return together, and one that is told more than a third of its
+// time has too few attempts.
+func TestRetryAfterIsSpreadWithinItsLimits(t *testing.T) {
+	ms := time.Millisecond
+	for _, tt := range []struct{ wait, left, low, high time.Duration }{
+		{400 * ms, 10_000 * ms, 300 * ms, 600 * ms},
+		{1 * ms, 10_000 * ms, 100 * ms, 150 * ms},
+		{20_000 * ms, 60_000 * ms, 3750 * ms, 5000 * ms},
+		{20_000 * ms, 3000 * ms, 750 * ms, 1000 * ms},
+		{20_000 * ms, 60 * ms, 100 * ms, 150 * ms},
+		{400 * ms, 0, 300 * ms, 600 * ms},
+	} {
+		require.Equal(t, tt.low, retryAfter(tt.wait, tt.left, 0).Round(ms), "%v", tt)
+		require.Equal(t, tt.high, retryAfter(tt.wait, tt.left, 1).Round(ms), "%v", tt)
+	}
+}
+
+// Guards against speeds and wait of an upstream before its restart that count afterwards.
+func TestRestartResetsLearnedSpeed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	q := prompt(7)
+	q.Candidates, q.Streamed = q.Candidates[:1], true
+	for range 30 {
+		c, _ := b.Choose(now, q)
+		now = now.Add(3 * c.FirstByte)
+		b.ResponseStarted(now, &c, Start{Load: Load{Slowdown: 4}, FirstByte: true})
+		b.End(now, &c, Result{})
+	}
+	require.Greater(t, b.states["i-0"].factor(now), 1.5)
+	q.Candidates[0].StartedAtMs = 5
+	b.Choose(now, q)
+	require.Equal(t, 1.0, b.states["i-0"].factor(now))
+}
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -21,22 +21,25 @@
 	requests             float64
 	othersPrefill, ahead time.Duration
 	weight               uint64
-	// full is true if the request would exceed the memory of the upstream.
+	// full is true if the upstream has just rejected a request, or this one would exceed its memory.
 	full bool
 	// staleLimit is true if a request has to show whether the upstream still has a limit.
 	staleLimit bool
 }
 
 // Choose returns the upstream for a request and counts the request there until End. It
-// reports false if no upstream is left; RetryAfter of the choice is then set if their request
-// limits are the reason.
+// reports false if the request is refused; the choice then has the reason and a Retry-After.
 func (b *Balancer) Choose(now time.Time, q Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q.Priority = min(max(q.Priority, 0), priorities-1)
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
-		return Choice{RetryAfter: b.config.Limits.RetryAfter(now, b.limitIDs(q))}, false
+		return b.noCandidates(now, &q), false
+	}
+	service := b.service(&q)
+	if len(q.Exclude) == 0 { // a retry is not another demand
+		service.demand.add(now, q.Account, q.Tokens+q.MaxOutput+1)
 	}
 	for i := range candidates {
 		if candidates[i].staleLimit {
@@ -44,16 +47,25 @@
 			break
 		}
 	}
+	a := admission{
+		timeLeft: q.TimeLeft, reliable: service.reliable(now), upstreams: len(candidates), full: countFull(now, candidates),
+		busy: true, random: b.config.Random(),
+	}
+	if len(q.Exclude) == 0 { // a retry was admitted before
+		a.excess = service.demand.excess(now, q.Account)
+	}
 	var best *candidate
 	var p prediction
 	if q.Engine {
-		best, p = b.lowestCost(now, candidates, &q, b.service(&q))
+		best, p = b.lowestCost(now, candidates, &q, service, &a)
 	} else {
 		best = b.fewestRequests(candidates)
 	}
+	if reason, refused := a.refuse(); refused && !q.Started {
+		return b.refusal(now, &q, reason, a.firstByte), false
+	}
 	b.config.Limits.Take(now, best.state.limitID)
 	if q.Engine {
-		service := b.service(&q)
 		service.mix.add(q.Priority, q.Tokens)
 		service.recordTokens(q.Tokens + q.MaxOutput)
 	}
@@ -167,17 +179,33 @@
 	return !s.ejectedUntil.IsZero() && (now.Before(s.ejectedUntil) || s.trial)
 }
 
+// countFull counts the candidates that have just rejected a request.
+func countFull(now time.Time, candidates []candidate) int {
+	full := 0
+	for i := range candidates {
+		if now.Before(candidates[i].state.fullUntil) {
+			full++
+		}
+	}
+	return full
+}
+
 // lowestCost returns the upstream at which the request has the lowest cost, and what is predicted
-// there.
-func (b *Balancer) lowestCost(now time.Time, candidates []candidate, q *Query, service *serviceSpeed) (*candidate, prediction) {
+// there. An upstream at which the response begins in time is preferred to those at which it does not.
+func (b *Balancer) lowestCost(now time.Time, candidates []candidate, q *Query, service *serviceSpeed, a *admission) (*candidate, prediction) {
 	key := affinityKey(q.Parts)
 	preferred := 0
 	asUrgent, moreUrgent := service.mix.share(q.Priority)
-	needed, fullCount := newMemory(q, service, moreUrgent), 0
+	needed, fullCount, exceededCount := newMemory(q, service, moreUrgent), 0, 0
 	for i := range candidates {
 		c := &candidates[i]
 		c.ahead = c.state.prefillBy.upTo(q.Priority) + time.Duration(asUrgent*float64(c.othersPrefill))
-		if c.full = !needed.fits(c.state.committed, c.requests-float64(c.state.inFlight)); c.full {
+		a.busy = a.busy && c.requests > 0
+		exceeded := !needed.fits(c.state.committed, c.requests-float64(c.state.inFlight))
+		if exceeded {
+			exceededCount++
+		}
+		if c.full = exceeded || a.full > 0 && now.Before(c.state.fullUntil); c.full {
 			fullCount++
 		}
 		c.requests -= (1 - asUrgent) * max(c.requests-float64(c.upstream.Slots), 0) // those that wait behind this one
@@ -186,8 +214,9 @@
 			preferred = i
 		}
 	}
-	b.countFull(fullCount, len(candidates))
+	b.countExceeded(exceededCount, len(candidates))
 	best, lowest := -1, prediction{}
+	soonest, soonestPrediction := -1, prediction{}
 	evenBest, evenLowest := -1, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
@@ -196,6 +225,9 @@
 		}
 		p := c.predict(now, q, service, i == preferred)
 		p.cost += lateness(p.firstByte, q.Target, moreUrgent)
+		if best < 0 || p.firstByte < a.firstByte {
+			a.firstByte, soonest, soonestPrediction = p.firstByte, i, p
+		}
 		if evenBest < 0 || p.evenCost < evenLowest || p.evenCost == evenLowest && c.weight > candidates[evenBest].weight {
 			evenBest, evenLowest = i, p.evenCost
 		}
@@ -203,18 +235,21 @@
 			best, lowest = i, p
 		}
 	}
+	if q.TimeLeft > 0 && a.reliable && lowest.firstByte > q.TimeLeft && a.firstByte <= q.TimeLeft {
+		best, lowest = soonest, soonestPrediction
+	}
 	if evenBest != best {
 		b.slowAvoided.Inc(1)
 	}
 	return &candidates[best], lowest
 }
 
-// countFull counts a choice in which the request did not fit into the memory of some upstreams.
-func (b *Balancer) countFull(full, all int) {
+// countExceeded counts a choice in which the request did not fit into the memory of some upstreams.
+func (b *Balancer) countExceeded(exceeded, all int) {
 	switch {
-	case full == all:
+	case exceeded == all:
 		b.memoryExceeded.Inc(1)
-	case full > 0:
+	case exceeded > 0:
 		b.memoryAvoided.Inc(1)
 	}
 }
@@ -294,6 +329,7 @@
 		corrected = time.Duration(float64(took) / slowdown)
 	}
 	service.learn(c.work, corrected)
+	service.observedAt = now
 	p.learn(now, service.predict(c.work), took, slowdown)
 	if p.changed() {
 		b.config.Recorder.Event(recorder.UpstreamSpeed, "upstream", c.Upstream.Name, "service", c.Upstream.Service, "factor", p.usual)
@@ -340,6 +376,16 @@
 	}
 	s.inFlight = max(s.inFlight-1, 0)
 	s.committed = max(s.committed-c.tokens, 0)
+	if service := b.services[c.Upstream.Service]; service != nil {
+		switch r.Outcome {
+		case Served:
+			service.recordDuration(now.Sub(c.chosenAt))
+			s.fullUntil = time.Time{} // a slot is free now
+		case Full:
+			s.fullUntil = now.Add(min(max(service.slotTime(c.Upstream.Slots), minFull), maxFull))
+		default: // says nothing about the capacity
+		}
+	}
 	s.recordOutcome(now, r.Outcome)
 }
 
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumline/contractor"
 	"laburnumline/recorder"
 	"laburnumline/registrar"
 )
@@ -34,7 +35,10 @@
 	ends    time.Duration
 	// firstByte is the time to first byte. It is zero for a request that was refused.
 	firstByte time.Duration
-	refused   bool
+	// limit is how long the caller waits. After a refusal it returns when it is told to.
+	limit       time.Duration
+	sends       int
+	retryAfters []time.Duration
 }
 
 const simTokensPerMs = 45
@@ -107,31 +111,53 @@
 		byName[list[i].Name] = e
 	}
 	var all []*simRequest
+	returns := make(map[time.Duration][]*simRequest)
 	for at := time.Duration(0); at < length; at += time.Millisecond {
 		for _, e := range engines {
 			e.step(b, start, at)
 		}
-		for _, r := range arrive(at, random) {
+		arrivals := arrive(at, random)
+		for _, r := range arrivals {
 			r.arrived, r.query.Candidates, r.query.Engine, r.query.Streamed = at, list, true, true
-			all = append(all, r)
-			choice, ok := b.Choose(start.Add(at), r.query)
-			r.choice = choice
-			e := byName[choice.Upstream.Name]
-			switch {
-			case !ok:
-				r.refused = true
-			case e.maxWaiting > 0 && len(e.waiting) >= e.maxWaiting:
-				b.ResponseStarted(start.Add(at), &r.choice, Start{Load: e.load(at)})
-				b.End(start.Add(at), &r.choice, Result{Outcome: Full})
-				r.refused = true
-			default:
-				e.add(r)
+		}
+		all = append(all, arrivals...)
+		for _, r := range append(arrivals, returns[at]...) {
+			if r.limit > 0 {
+				r.query.TimeLeft = r.arrived + r.limit - at
+			}
+			if wait := r.send(b, byName, start, at); wait > 0 {
+				r.retryAfters = append(r.retryAfters, wait)
+				if back := (at + wait).Truncate(time.Millisecond); back < r.arrived+r.limit {
+					returns[back] = append(returns[back], r)
+				}
 			}
 		}
 	}
 	return all
 }
 
+// send tries up to three upstreams. It returns the Retry-After if the request is refused.
+func (r *simRequest) send(b *Balancer, byName map[registrar.Name]*engine, start time.Time, at time.Duration) time.Duration {
+	now, q := start.Add(at), r.query
+	for range 3 {
+		choice, ok := b.Choose(now, q)
+		if !ok {
+			return choice.RetryAfter
+		}
+		r.choice = choice
+		r.sends++
+		e := byName[choice.Upstream.Name]
+		if e.maxWaiting == 0 || len(e.waiting) < e.maxWaiting {
+			e.add(r)
+			return 0
+		}
+		b.ResponseStarted(now, &r.choice, Start{Load: e.load(at)})
+		b.End(now, &r.choice, Result{Outcome: Full})
+		q.Exclude = append(q.Exclude, choice.Upstream.Name)
+	}
+	return b.RetryAfter(now, q)
+}
+
 // mixed returns arrivals of rate requests per second with prompts of a few thousand tokens that share
 // parts.
 func mixed(rate float64) func(time.Duration, *rand.Rand) []*simRequest {
@@ -157,7 +183,7 @@
 	var times []time.Duration
 	for _, r := range requests {
 		switch {
-		case r.arrived < 5*time.Second || r.refused:
+		case r.arrived < 5*time.Second:
 		case r.firstByte == 0:
 			times = append(times, time.Hour)
 		default:
@@ -293,3 +319,102 @@
 	t.Log(quantile(first, 0.5), quantile(first, 0.95), quantile(first, 0.99), quantile(rest, 0.5), quantile(rest, 0.95), quantile(rest, 0.99))
 	require.Less(t, quantile(first, 0.99), 300*time.Millisecond)
 }
+
+// served returns the share of requests with a first byte within their limit.
+func served(requests []*simRequest) float64 {
+	count := 0
+	for _, r := range requests {
+		if r.firstByte > 0 && r.firstByte <= r.limit {
+			count++
+		}
+	}
+	return float64(count) / float64(max(len(requests), 1))
+}
+
+// limited returns arrivals whose callers wait for a limited time, and stops before the end of the
+// simulation, so that all of them are decided.
+func limited(rate float64, limit, end time.Duration) func(time.Duration, *rand.Rand) []*simRequest {
+	arrive := mixed(rate)
+	return func(at time.Duration, random *rand.Rand) []*simRequest {
+		list := arrive(at, random)
+		if at > end {
+			return nil
+		}
+		for _, r := range list {
+			r.limit = limit
+		}
+		return list
+	}
+}
+
+// Callers of full upstreams must not return all together, nor more often than necessary. A constant
+// Retry-After of 300 ms causes 20 refusals for each request that is not served here. A third of the time
+// left, the maximum, causes about ten.
+func TestRetryAfterFollowsTheState(t *testing.T) {
+	var engines []*engine
+	for range 9 {
+		engines = append(engines, &engine{speed: 1, maxWaiting: 4})
+	}
+	b := New(Config{Random: rand.New(rand.NewPCG(3, 4)).Float64})
+	all := simulate(b, engines, 35*time.Second, limited(220, 4*time.Second, 30*time.Second))
+	var waits []time.Duration
+	unserved, sends := 0, 0
+	for _, r := range all {
+		waits = append(waits, r.retryAfters...)
+		sends += r.sends
+		if r.firstByte == 0 || r.firstByte > r.limit {
+			unserved++
+		}
+	}
+	slices.Sort(waits)
+	low, high := waits[len(waits)/20], waits[len(waits)*19/20]
+	t.Log(served(all), len(all), len(waits), unserved, sends, low, high)
+	require.Greater(t, served(all), 0.5)
+	require.Less(t, float64(len(waits))/float64(unserved), 16.0, "refusals for each request that is not served")
+	require.Greater(t, high, 3*low, "callers do not return together")
+	require.GreaterOrEqual(t, waits[0], minRetryAfter)
+}
+
+// A request that cannot begin in time anywhere takes capacity from others without use.
+func TestHopelessRequestsAreRefused(t *testing.T) {
+	var engines []*engine
+	for range 9 {
+		engines = append(engines, &engine{speed: 1})
+	}
+	all := simulate(New(Config{}), engines, 35*time.Second, limited(200, time.Second, 30*time.Second))
+	t.Log(served(all))
+	require.Greater(t, served(all), 0.7)
+}
+
+// One account that sends seven times its usual load must not displace the others.
+func TestBusyAccountDoesNotDisplaceOthers(t *testing.T) {
+	var engines []*engine
+	for range 9 {
+		engines = append(engines, &engine{speed: 1, maxWaiting: 4})
+	}
+	usual, more := limited(90, 2*time.Second, 30*time.Second), limited(68, 2*time.Second, 30*time.Second)
+	all := simulate(New(Config{Random: rand.New(rand.NewPCG(3, 4)).Float64}), engines, 35*time.Second, func(at time.Duration, random *rand.Rand) []*simRequest {
+		list := usual(at, random)
+		for _, r := range list {
+			r.query.Account = contractor.Account(rune('a' + random.IntN(8)))
+		}
+		if at > 5*time.Second {
+			for _, r := range more(at, random) {
+				r.query.Account = "a"
+				list = append(list, r)
+			}
+		}
+		return list
+	})
+	byAccount := make(map[contractor.Account][]*simRequest)
+	for _, r := range all {
+		byAccount[r.query.Account] = append(byAccount[r.query.Account], r)
+	}
+	for name, list := range byAccount {
+		t.Log(name, len(list), served(list))
+		require.Greater(t, served(list), served(all)/2, name)
+		if name != "a" {
+			require.Greater(t, served(list), 0.9, name)
+		}
+	}
+}
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -54,7 +54,13 @@
 type serviceSpeed struct {
 	prefill, request float64
 	observations     int
+	observedAt       time.Time
 	mix              priorityMix
+	demand           demand
+	// duration is the mean duration of a request. returnsAt is when there is room for all callers
+	// that were refused.
+	duration  time.Duration
+	returnsAt time.Time
 	// meanTokens is the mean of prompt and maximum output of a request.
 	meanTokens float64
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -38,7 +38,7 @@
 	f.Retries.RecordFirstAttempt(x.accountName(), target)
 	for attempt := 1; ; attempt++ {
 		if attempt > 1 && x.unreachable() {
-			return x.finalRefusal(noUpstream(0)) // Serve delegates the request
+			return x.finalRefusal(noUpstream()) // Serve delegates the request
 		}
 		if refusal := x.checkQuarantine(ctx); refusal != nil {
 			return x.finalRefusal(refusal)
@@ -46,7 +46,7 @@
 		now := time.Now()
 		choice, ok := f.Balancer.Choose(now, x.query())
 		if !ok {
-			return x.finalRefusal(noUpstream(choice.RetryAfter))
+			return x.finalRefusal(notChosen(&choice))
 		}
 		failed := x.attempt(ctx, choice)
 		if failed == nil {
@@ -58,13 +58,13 @@
 		if ctx.Err() != nil {
 			return x.contextRefusal(ctx, choice)
 		}
-		refusal := refuser.New(failed.reason, "forward").WithPeer(string(choice.Upstream.Name)).WithCause(failed.err).WithRetryAfter(overloadRetryAfter)
+		refusal := refuser.New(failed.reason, "forward").WithPeer(string(choice.Upstream.Name)).WithCause(failed.err)
 		if !x.attemptsRemain(failed) {
-			return x.finalRefusal(refusal)
+			return x.finalRefusal(refusal.WithRetryAfter(x.retryAfter(failed)))
 		}
 		decision := f.Retries.Decide(time.Now(), x.accountName(), target, attempt, x.deadline, failed.Failure)
 		if !decision.Retry {
-			return x.finalRefusal(refusal)
+			return x.finalRefusal(refusal.WithRetryAfter(x.retryAfter(failed)))
 		}
 		x.tried = append(x.tried, choice.Upstream.Name)
 		if decision.Resume {
@@ -76,15 +76,33 @@
 	}
 }
 
-// noUpstream returns the refusal of a request for which no upstream is left. limitRetryAfter is
-// set if this is due to request limits.
-func noUpstream(limitRetryAfter time.Duration) *refuser.Refusal {
-	if limitRetryAfter > 0 {
-		return refuser.New(refuser.UpstreamLimited, "choose").WithRetryAfter(limitRetryAfter)
-	}
+// noUpstream returns the refusal of a request whose service this daemon does not reach.
+func noUpstream() *refuser.Refusal {
 	return refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(unavailableRetryAfter)
 }
 
+// notChosen returns the refusal of a request for which no upstream was chosen.
+func notChosen(c *balancer.Choice) *refuser.Refusal {
+	reason := refuser.NoUpstream
+	switch c.Reason {
+	case balancer.Limited:
+		reason = refuser.UpstreamLimited
+	case balancer.AllFull, balancer.OverShare:
+		reason = refuser.QueueFull
+	case balancer.TooLate:
+		reason = refuser.DeadlineUnmeetable
+	}
+	return refuser.New(reason, "choose").WithRetryAfter(c.RetryAfter).WithDetail("%s", c.Reason)
+}
+
+// retryAfter returns the Retry-After of a request whose attempt has failed.
+func (x *exchange) retryAfter(failed *failure) time.Duration {
+	if failed.reason != refuser.QueueFull {
+		return overloadRetryAfter
+	}
+	return x.forwarder.config.Balancer.RetryAfter(time.Now(), x.query())
+}
+
 // attemptsRemain reports whether the route allows another attempt. After a send that was
 // certainly not executed, it allows up to maxNotExecutedSends sends beyond the route's
 // attempts.
@@ -124,6 +142,9 @@
 		Memory:     x.service.CacheTokens,
 		Priority:   x.priority(),
 		Target:     x.route.TargetLatency,
+		TimeLeft:   max(time.Until(x.deadline), time.Millisecond),
+		Account:    x.accountName(),
+		Started:    x.responseStarted,
 		Streamed:   x.route.Repeatability == resolver.Stream,
 		Exclude:    x.tried,
 	}
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -39,7 +39,7 @@
 		delegator.Decline(x.writer)
 		return true
 	}
-	refusal := x.finalRefusal(noUpstream(0))
+	refusal := x.finalRefusal(noUpstream())
 	if !x.request.Delegated && x.forwarder.config.Delegate != nil {
 		refusal = x.delegate(ctx)
 	}
@@ -68,7 +68,7 @@
 		if ctx.Err() != nil {
 			return x.contextRefusal(ctx, balancer.Choice{})
 		}
-		return x.finalRefusal(noUpstream(0).WithCause(err))
+		return x.finalRefusal(noUpstream().WithCause(err))
 	}
 	f.Recorder.Count("delegator.sent", 1)
 	defer response.Body.Close()
@@ -91,7 +91,7 @@
 // refusal. The other daemon has charged it and recorded the software version of a stream.
 func (x *exchange) forwardDelegated(ctx context.Context, from *http.Response) *refuser.Refusal {
 	if x.executions > 0 && promisesNoExecution(from.StatusCode) {
-		return x.finalRefusal(noUpstream(0)) // it may have run here before
+		return x.finalRefusal(noUpstream()) // it may have run here before
 	}
 	x.pinned, x.served, x.continued = true, true, true
 	response := &connector.Response{
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -115,6 +115,8 @@
 	Choose(now time.Time, q balancer.Query) (balancer.Choice, bool)
 	ResponseStarted(now time.Time, c *balancer.Choice, s balancer.Start)
 	End(now time.Time, c *balancer.Choice, r balancer.Result)
+	// RetryAfter returns the predicted time until upstreams that have rejected a request have room.
+	RetryAfter(now time.Time, q balancer.Query) time.Duration
 }
 
 // Sender sends calls to upstreams.
@@ -180,7 +182,8 @@
 	// unavailableRetryAfter is the Retry-After when no upstream or configuration is
 	// available. Upstreams appear and recover within about a second.
 	unavailableRetryAfter = 500 * time.Millisecond
-	// overloadRetryAfter is the Retry-After when the upstreams of a service are full.
+	// overloadRetryAfter is the Retry-After when the last attempt failed for another reason than
+	// full upstreams, for which package balancer predicts it.
 	overloadRetryAfter = 300 * time.Millisecond
 	// maxNotExecutedSends is the number of sends beyond the attempts of the route that
 	// are allowed after upstreams reported that they did not execute the request.
