--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,7 +31,7 @@
 //	b := balancer.New(balancer.Config{Zone: "gulf-south-a"})
 //	choice, ok := b.Choose(now, balancer.Query{Candidates: list, Parts: parts})
 //	...
-//	b.ResponseStarted(&choice)
+//	b.ResponseStarted(now, &choice, balancer.Start{FirstByte: true})
 //	...
 //	b.End(now, &choice, balancer.Result{Outcome: balancer.Served})
 package balancer
@@ -40,13 +40,18 @@
 	"encoding/binary"
 	"fmt"
 	"iter"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"laburnumline/announcer"
+	"laburnumline/contractor"
+	"laburnumline/recorder"
 	"laburnumline/registrar"
+	"laburnumline/resolver"
 	"laburnumline/throttler"
 )
 
@@ -66,6 +71,23 @@
 	Engine bool
 	// Tokens is the length of the prompt.
 	Tokens int64
+	// MaxOutput is the maximum number of output tokens, and Memory how many tokens an upstream holds, or
+	// zero if that is unknown.
+	MaxOutput, Memory int64
+	// Priority is from 0 to 9. Upstreams process requests with a lower number first.
+	Priority int
+	// Target is the time within which the response should begin, or zero.
+	Target time.Duration
+	// TimeLeft is the time until the deadline of the caller, or zero if there is none.
+	TimeLeft time.Duration
+	// Account is the client account, or empty.
+	Account contractor.Account
+	// Started is true if a part of the response has been delivered. The request is then not refused
+	// while an upstream is left, because that would break the response.
+	Started bool
+	// Streamed is true if the response is expected to begin when the prompt has been processed. A
+	// long wait for it then shows that the upstream is slow.
+	Streamed bool
 	// Exclude holds the upstreams that were already tried for the request.
 	Exclude []registrar.Name
 }
@@ -97,28 +119,41 @@
 	return fmt.Sprintf("outcome(%d)", uint8(o))
 }
 
-// Load is the load that an upstream reported in a response: requests in execution, requests
-// in its queue, and requests that it can execute at a time.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Result is the result of a request at an upstream.
 type Result struct {
 	Outcome Outcome
-	// Load is nil if the upstream did not report it.
-	Load *Load
+}
+
+// Start describes the beginning of an upstream's response.
+type Start struct {
+	// Load is the load that the upstream reported in the response.
+	Load Load
+	// FirstByte is true if the response begins when the prompt has been processed. That is
+	// not so for rejections, and for responses that are sent only when they are complete.
+	FirstByte bool
 }
 
 // Choice is the upstream chosen for a request.
 type Choice struct {
 	Upstream registrar.Upstream
-	// prefill is the prefill time of the prompt parts that are not cached at the upstream.
-	prefill time.Duration
+	// FirstByte is the predicted time to the first byte of the response. It is zero for plain
+	// services.
+	FirstByte time.Duration
+	// chosenAt, work and slowdown are what the prediction began with.
+	id       uint64
+	chosenAt time.Time
+	work     work
+	slowdown float64
+	// prefill is the prefill time of the prompt parts that are not cached at the upstream. It counts
+	// there under the priority, and tokens count as committed.
+	prefill  time.Duration
+	priority int
+	tokens   int64
 	// started is true once the response has started.
 	started bool
-	// RetryAfter is set if no upstream was chosen because of request limits or pauses: the
-	// expected time until one of them accepts another request.
+	// Reason and RetryAfter are set if no upstream was chosen: why, and the expected time until one
+	// accepts the request.
+	Reason     Reason
 	RetryAfter time.Duration
 }
 
@@ -144,9 +179,6 @@
 	// failuresToEject is the number of consecutive failed requests after which an upstream
 	// is ejected. Healthy upstreams fail single requests.
 	failuresToEject = 2
-	// loadLifetime is how long a reported load is used. Reports are several hundred
-	// milliseconds old when they arrive.
-	loadLifetime = time.Second
 )
 
 // Limits keeps the request limits that upstreams state.
@@ -164,7 +196,10 @@
 type Config struct {
 	Zone string // availability zone of the daemon
 	// Limits may be nil, in which case no upstream states a limit.
-	Limits Limits
+	Limits   Limits
+	Recorder *recorder.Recorder
+	// Random returns numbers from 0 to below 1. Nil means rand.Float64.
+	Random func() float64
 }
 
 // Balancer holds the state of all upstreams as one daemon knows it. It is safe for concurrent
@@ -176,6 +211,23 @@
 	states            map[registrar.Name]*upstreamState
 	byHash            map[uint32]*upstreamState
 	pendingPlacements []announcer.Placement
+	services          map[resolver.ServiceName]*serviceSpeed
+	views             map[resolver.ServiceName]view
+	// available and ejected are buffers of candidates.
+	available, ejected []candidate
+	lastID             uint64
+	// memoryAvoided counts choices in which an upstream was left out because its memory would have
+	// been exceeded, memoryExceeded those in which that was so at all upstreams.
+	memoryAvoided, memoryExceeded metrics.Counter
+	// slowAvoided counts requests that would have gone elsewhere if all upstreams were equally fast
+	// and lateness had no cost.
+	slowAvoided metrics.Counter
+}
+
+// view has the states of a list of upstreams, which saves looking them up for each request.
+type view struct {
+	list   []registrar.Upstream
+	states []*upstreamState
 }
 
 // upstreamState is the state of one upstream.
@@ -186,17 +238,29 @@
 	inFlight    int
 	// pending is the number of requests whose response has not started.
 	pending int
-	// prefill is the prefill time of the requests whose response has not started.
-	prefill time.Duration
+	// prefill is the prefill time of the requests whose response has not started, and prefillBy
+	// the same by priority.
+	prefill   time.Duration
+	prefillBy byPriority
+	// committed is the prompt and maximum output of the requests in flight, in tokens.
+	committed int64
 	// parts holds the time at which each part was last sent to the upstream.
 	parts map[uint64]time.Time
-	// others holds the load of other daemons by their incarnation.
-	others map[uint32]remoteLoad
+	// others holds the load of other daemons by their incarnation. othersPrefill and
+	// othersInFlight are its sums, and none of it expires before othersExpire.
+	others         map[uint32]remoteLoad
+	othersPrefill  time.Duration
+	othersInFlight int
+	othersExpire   time.Time
 	// announced is true if the last notice contained requests in flight at the upstream.
-	announced  bool
-	reported   Load
-	reportedAt time.Time
-	failures   int // consecutive, since the last served request
+	announced bool
+	reported  report
+	speed     upstreamSpeed
+	// waiting has the requests whose response has not started, oldest first.
+	waiting []waitingRequest
+	// fullUntil is how long the upstream counts as full after it has rejected a request.
+	fullUntil time.Time
+	failures  int // consecutive, since the last served request
 	// ejectedUntil is the end of the ejection. It is zero after a served request.
 	ejectedUntil time.Time
 	// trial is true while one request tests an upstream that was ejected. It keeps other
@@ -204,12 +268,29 @@
 	trial bool
 }
 
+// waitingRequest is a request whose response has not started.
+type waitingRequest struct {
+	id       uint64
+	chosenAt time.Time
+	// predicted is the predicted time to its first byte, or zero if its response is not streamed.
+	predicted time.Duration
+}
+
 // New returns a Balancer without state.
 func New(c Config) *Balancer {
 	if c.Limits == nil {
 		c.Limits = throttler.New(throttler.Config{})
 	}
-	return &Balancer{config: c, states: make(map[registrar.Name]*upstreamState), byHash: make(map[uint32]*upstreamState)}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	return &Balancer{
+		config: c, states: make(map[registrar.Name]*upstreamState), byHash: make(map[uint32]*upstreamState),
+		services: make(map[resolver.ServiceName]*serviceSpeed), views: make(map[resolver.ServiceName]view),
+		slowAvoided:    c.Recorder.Counter("balancer.slow_avoided"),
+		memoryAvoided:  c.Recorder.Counter("balancer.memory_avoided"),
+		memoryExceeded: c.Recorder.Counter("balancer.memory_exceeded"),
+	}
 }
 
 func (b *Balancer) state(u *registrar.Upstream) *upstreamState {
@@ -217,7 +298,7 @@
 	if s == nil || s.startedAtMs != u.StartedAtMs {
 		s = &upstreamState{
 			hash: xxhash.Sum64String(string(u.Name)), startedAtMs: u.StartedAtMs, limitID: u.LimitID(),
-			parts: make(map[uint64]time.Time), others: make(map[uint32]remoteLoad),
+			parts: make(map[uint64]time.Time), others: make(map[uint32]remoteLoad), speed: newUpstreamSpeed(),
 		}
 		b.states[u.Name] = s
 		b.byHash[uint32(s.hash)] = s
@@ -225,6 +306,34 @@
 	return s
 }
 
+// service returns what is learned about the service of a query.
+func (b *Balancer) service(q *Query) *serviceSpeed {
+	name := q.Candidates[0].Service
+	v := b.services[name]
+	if v == nil {
+		v = &serviceSpeed{prefill: 1, request: 1}
+		b.services[name] = v
+	}
+	return v
+}
+
+// statesOf returns the states of a list of upstreams. They are kept for the next call with the same
+// list, which is that of the registrar and is not changed while it is used. Callers check that a
+// state is of the upstream's present incarnation.
+func (b *Balancer) statesOf(list []registrar.Upstream) []*upstreamState {
+	name := list[0].Service
+	known := b.views[name]
+	if len(known.list) == len(list) && &known.list[0] == &list[0] {
+		return known.states
+	}
+	states := make([]*upstreamState, len(list))
+	for i := range list {
+		states[i] = b.state(&list[i])
+	}
+	b.views[name] = view{list: list, states: states}
+	return states
+}
+
 // affinityKey returns the key for rendezvous hashing: the ID of the last shared part, or of
 // the only part.
 func affinityKey(parts []Part) uint64 {
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumline/announcer"
+	"laburnumline/recorder"
 	"laburnumline/registrar"
 	"laburnumline/throttler"
 )
@@ -14,42 +15,81 @@
 type candidate struct {
 	upstream *registrar.Upstream
 	state    *upstreamState
-	requests float64
-	weight   uint64
+	// requests is the number of requests at the upstream: those of all daemons, or those that the
+	// upstream reported recently if they are more. othersPrefill is the prefill time of those of other
+	// daemons, ahead that of those of all daemons that are at least as urgent.
+	requests             float64
+	othersPrefill, ahead time.Duration
+	weight               uint64
+	// full is true if the upstream has just rejected a request, or this one would exceed its memory.
+	full bool
 	// staleLimit is true if a request has to show whether the upstream still has a limit.
 	staleLimit bool
 }
 
 // Choose returns the upstream for a request and counts the request there until End. It
-// reports false if no upstream is left; RetryAfter of the choice is then set if their request
-// limits are the reason.
+// reports false if the request is refused; the choice then has the reason and a Retry-After.
 func (b *Balancer) Choose(now time.Time, q Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	q.Priority = min(max(q.Priority, 0), priorities-1)
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
-		return Choice{RetryAfter: b.config.Limits.RetryAfter(now, b.limitIDs(q))}, false
+		return b.noCandidates(now, &q), false
 	}
-	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.staleLimit }); i >= 0 {
-		candidates = candidates[i : i+1]
+	service := b.service(&q)
+	if len(q.Exclude) == 0 { // a retry is not another demand
+		service.demand.add(now, q.Account, q.Tokens+q.MaxOutput+1)
+	}
+	for i := range candidates {
+		if candidates[i].staleLimit {
+			candidates = candidates[i : i+1]
+			break
+		}
+	}
+	a := admission{
+		timeLeft: q.TimeLeft, reliable: service.reliable(now), upstreams: len(candidates), full: countFull(now, candidates),
+		busy: true, random: b.config.Random(),
+	}
+	if len(q.Exclude) == 0 { // a retry was admitted before
+		a.excess = service.demand.excess(now, q.Account)
 	}
 	var best *candidate
-	var prefill time.Duration
+	var p prediction
 	if q.Engine {
-		best, prefill = lowestCost(now, candidates, q)
+		best, p = b.lowestCost(now, candidates, &q, service, &a)
 	} else {
 		best = b.fewestRequests(candidates)
 	}
+	if reason, refused := a.refuse(); refused && !q.Started {
+		return b.refusal(now, &q, reason, a.firstByte), false
+	}
 	b.config.Limits.Take(now, best.state.limitID)
-	b.begin(now, best.state, q, prefill)
-	return Choice{Upstream: *best.upstream, prefill: prefill}, true
+	if q.Engine {
+		service.mix.add(q.Priority, q.Tokens)
+		service.recordTokens(q.Tokens + q.MaxOutput)
+	}
+	b.lastID++
+	c := Choice{
+		Upstream: *best.upstream, FirstByte: p.firstByte, id: b.lastID, chosenAt: now, work: p.work,
+		slowdown: best.state.speed.slowdown(now), prefill: p.prefill, priority: q.Priority, tokens: q.Tokens + q.MaxOutput,
+	}
+	b.begin(now, best.state, &q, &c)
+	return c, true
 }
 
 // begin counts a request at an upstream.
-func (b *Balancer) begin(now time.Time, s *upstreamState, q Query, prefill time.Duration) {
+func (b *Balancer) begin(now time.Time, s *upstreamState, q *Query, c *Choice) {
 	s.inFlight++
 	s.pending++
-	s.prefill += prefill
+	s.prefill += c.prefill
+	s.prefillBy[c.priority] += c.prefill
+	s.committed += c.tokens
+	waiting := waitingRequest{id: c.id, chosenAt: now}
+	if q.Streamed {
+		waiting.predicted = c.FirstByte
+	}
+	s.waiting = append(s.waiting, waiting)
 	if !s.ejectedUntil.IsZero() {
 		s.trial = true
 	}
@@ -82,22 +122,31 @@
 // it are left out. Ejected ones are included only if there are no others, or if more than half of
 // more than three upstreams are ejected.
 func (b *Balancer) candidates(now time.Time, q Query) []candidate {
-	var available, ejected []candidate
+	if len(q.Candidates) == 0 {
+		return nil
+	}
+	available, ejected := b.available[:0], b.ejected[:0]
+	states := b.statesOf(q.Candidates)
 	for i := range q.Candidates {
 		u := &q.Candidates[i]
 		if slices.Contains(q.Exclude, u.Name) {
 			continue
 		}
-		s := b.state(u)
+		s := states[i]
+		if s.startedAtMs != u.StartedAtMs {
+			s = b.state(u)
+			states[i] = s
+		}
 		if !b.config.Limits.Allows(now, s.limitID) {
 			continue
 		}
-		requests := s.requests(now)
+		othersPrefill, othersInFlight := s.othersLoad(now)
+		requests := max(float64(s.inFlight+othersInFlight), float64(s.reported.requests(now)))
 		freeSlots := max(u.Slots-int(requests), 0)
 		if limit := b.config.Limits.MaxPending(now, string(u.Service), len(q.Candidates), s.limitID, freeSlots); limit != 0 && (s.pending >= limit || requests >= float64(u.Slots)) {
 			continue
 		}
-		c := candidate{upstream: u, state: s, requests: requests, staleLimit: b.config.Limits.IsStale(now, s.limitID)}
+		c := candidate{upstream: u, state: s, requests: requests, othersPrefill: othersPrefill, staleLimit: b.config.Limits.IsStale(now, s.limitID)}
 		if s.isEjected(now) {
 			c.staleLimit = false
 			ejected = append(ejected, c)
@@ -105,6 +154,7 @@
 			available = append(available, c)
 		}
 	}
+	b.available, b.ejected = available, ejected // keep what append has allocated
 	if len(ejected) > len(available) && len(q.Candidates) > 3 {
 		return append(available, ejected...)
 	}
@@ -129,45 +179,85 @@
 	return !s.ejectedUntil.IsZero() && (now.Before(s.ejectedUntil) || s.trial)
 }
 
-// requests returns the number of requests at the upstream: those of all daemons, or those
-// that the upstream reported recently if they are more.
-func (s *upstreamState) requests(now time.Time) float64 {
-	_, othersInFlight := s.othersLoad(now)
-	inFlight := float64(s.inFlight + othersInFlight)
-	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) > loadLifetime {
-		return inFlight
-	}
-	return max(inFlight, float64(s.reported.Running+s.reported.Waiting))
+// countFull counts the candidates that have just rejected a request.
+func countFull(now time.Time, candidates []candidate) int {
+	full := 0
+	for i := range candidates {
+		if now.Before(candidates[i].state.fullUntil) {
+			full++
+		}
+	}
+	return full
 }
 
-// lowestCost returns the upstream at which the request has the lowest cost, and the prefill
-// time there.
-func lowestCost(now time.Time, candidates []candidate, q Query) (*candidate, time.Duration) {
+// lowestCost returns the upstream at which the request has the lowest cost, and what is predicted
+// there. An upstream at which the response begins in time is preferred to those at which it does not.
+func (b *Balancer) lowestCost(now time.Time, candidates []candidate, q *Query, service *serviceSpeed, a *admission) (*candidate, prediction) {
 	key := affinityKey(q.Parts)
 	preferred := 0
+	asUrgent, moreUrgent := service.mix.share(q.Priority)
+	needed, fullCount, exceededCount := newMemory(q, service, moreUrgent), 0, 0
 	for i := range candidates {
+		c := &candidates[i]
+		c.ahead = c.state.prefillBy.upTo(q.Priority) + time.Duration(asUrgent*float64(c.othersPrefill))
+		a.busy = a.busy && c.requests > 0
+		exceeded := !needed.fits(c.state.committed, c.requests-float64(c.state.inFlight))
+		if exceeded {
+			exceededCount++
+		}
+		if c.full = exceeded || a.full > 0 && now.Before(c.state.fullUntil); c.full {
+			fullCount++
+		}
+		c.requests -= (1 - asUrgent) * max(c.requests-float64(c.upstream.Slots), 0) // those that wait behind this one
 		candidates[i].weight = rendezvousWeight(key, candidates[i].state.hash)
 		if candidates[i].weight > candidates[preferred].weight {
 			preferred = i
 		}
 	}
-	best, lowest, bestPrefill := 0, time.Duration(0), time.Duration(0)
+	b.countExceeded(exceededCount, len(candidates))
+	best, lowest := -1, prediction{}
+	soonest, soonestPrediction := -1, prediction{}
+	evenBest, evenLowest := -1, time.Duration(0)
 	for i := range candidates {
-		s := candidates[i].state
-		prefill := prefillTime(s.uncachedTokens(now, q, i == preferred))
-		othersPrefill, _ := s.othersLoad(now)
-		cost := prefillWeight*prefill + s.prefill + othersPrefill + time.Duration(candidates[i].requests*float64(requestCost))
-		if i == 0 || cost < lowest || cost == lowest && candidates[i].weight > candidates[best].weight {
-			best, lowest, bestPrefill = i, cost, prefill
+		c := &candidates[i]
+		if c.full && fullCount < len(candidates) {
+			continue
+		}
+		p := c.predict(now, q, service, i == preferred)
+		p.cost += lateness(p.firstByte, q.Target, moreUrgent)
+		if best < 0 || p.firstByte < a.firstByte {
+			a.firstByte, soonest, soonestPrediction = p.firstByte, i, p
 		}
+		if evenBest < 0 || p.evenCost < evenLowest || p.evenCost == evenLowest && c.weight > candidates[evenBest].weight {
+			evenBest, evenLowest = i, p.evenCost
+		}
+		if best < 0 || p.cost < lowest.cost || p.cost == lowest.cost && c.weight > candidates[best].weight {
+			best, lowest = i, p
+		}
+	}
+	if q.TimeLeft > 0 && a.reliable && lowest.firstByte > q.TimeLeft && a.firstByte <= q.TimeLeft {
+		best, lowest = soonest, soonestPrediction
+	}
+	if evenBest != best {
+		b.slowAvoided.Inc(1)
+	}
+	return &candidates[best], lowest
+}
+
+// countExceeded counts a choice in which the request did not fit into the memory of some upstreams.
+func (b *Balancer) countExceeded(exceeded, all int) {
+	switch {
+	case exceeded == all:
+		b.memoryExceeded.Inc(1)
+	case exceeded > 0:
+		b.memoryAvoided.Inc(1)
 	}
-	return &candidates[best], bestPrefill
 }
 
 // uncachedTokens returns how many tokens of a prompt need prefill at the upstream: all that
 // follow the first uncached part, which is included. At the preferred upstream, half of each
 // part that is not known to be cached counts as cached.
-func (s *upstreamState) uncachedTokens(now time.Time, q Query, preferred bool) int64 {
+func (s *upstreamState) uncachedTokens(now time.Time, q *Query, preferred bool) int64 {
 	uncached := q.Tokens
 	for _, part := range sharedParts(q.Parts) {
 		sentAt, sent := s.parts[part.ID]
@@ -211,16 +301,57 @@
 
 // ResponseStarted records that the response has started, which means that prefill is
 // complete.
-func (b *Balancer) ResponseStarted(c *Choice) {
+func (b *Balancer) ResponseStarted(now time.Time, c *Choice, r Start) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.stateOf(c); s != nil && !c.started {
-		s.prefill = max(s.prefill-c.prefill, 0)
-		s.pending = max(s.pending-1, 0)
+		s.endWait(c)
+		s.reported.record(now, r.Load)
+		if service := b.services[c.Upstream.Service]; r.FirstByte && service != nil && c.FirstByte > 0 {
+			slowdown := c.slowdown
+			if r.Load.Slowdown > 0 {
+				slowdown = clamp(max(slowdown, r.Load.Slowdown), minFactor, maxFactor)
+			}
+			b.observe(now, service, s, c, slowdown)
+		}
+		s.speed.report(now, r.Load.Slowdown)
 	}
 	c.started = true
 }
 
+// observe learns from the time to the first byte of a request.
+func (b *Balancer) observe(now time.Time, service *serviceSpeed, s *upstreamState, c *Choice, slowdown float64) {
+	p := &s.speed
+	trusted := p.trusted()
+	took := max(now.Sub(c.chosenAt), time.Millisecond)
+	corrected := took
+	if trusted {
+		corrected = time.Duration(float64(took) / slowdown)
+	}
+	service.learn(c.work, corrected)
+	service.observedAt = now
+	p.learn(now, service.predict(c.work), took, slowdown)
+	if p.changed() {
+		b.config.Recorder.Event(recorder.UpstreamSpeed, "upstream", c.Upstream.Name, "service", c.Upstream.Service, "factor", p.usual)
+	}
+	if trusted != p.trusted() {
+		b.config.Recorder.Event(recorder.ReportDistrusted, "upstream", c.Upstream.Name, "service", c.Upstream.Service, "trusted", p.trusted())
+	}
+}
+
+// endWait removes a request from those whose response has not started.
+func (s *upstreamState) endWait(c *Choice) {
+	s.prefill = max(s.prefill-c.prefill, 0)
+	s.prefillBy[c.priority] = max(s.prefillBy[c.priority]-c.prefill, 0)
+	s.pending = max(s.pending-1, 0)
+	for i := range s.waiting {
+		if s.waiting[i].id == c.id {
+			s.waiting = slices.Delete(s.waiting, i, i+1)
+			return
+		}
+	}
+}
+
 // stateOf returns the state of the chosen upstream, or nil if it was removed or the upstream
 // has restarted.
 func (b *Balancer) stateOf(c *Choice) *upstreamState {
@@ -233,16 +364,27 @@
 
 // End records the result of a request at the chosen upstream.
 func (b *Balancer) End(now time.Time, c *Choice, r Result) {
-	b.ResponseStarted(c)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stateOf(c)
 	if s == nil {
 		return
 	}
+	if !c.started {
+		s.endWait(c)
+		c.started = true
+	}
 	s.inFlight = max(s.inFlight-1, 0)
-	if r.Load != nil {
-		s.reported, s.reportedAt = *r.Load, now
+	s.committed = max(s.committed-c.tokens, 0)
+	if service := b.services[c.Upstream.Service]; service != nil {
+		switch r.Outcome {
+		case Served:
+			service.recordDuration(now.Sub(c.chosenAt))
+			s.fullUntil = time.Time{} // a slot is free now
+		case Full:
+			s.fullUntil = now.Add(min(max(service.slotTime(c.Upstream.Slots), minFull), maxFull))
+		default: // says nothing about the capacity
+		}
 	}
 	s.recordOutcome(now, r.Outcome)
 }
@@ -256,8 +398,7 @@
 		s.failures, s.ejectedUntil, s.trial = 0, time.Time{}, false
 	case Full:
 		s.trial = false
-		s.reportedAt = now
-		s.reported.Waiting = max(s.reported.Waiting, s.reported.Slots)
+		s.reported.recordFull(now)
 	case Abandoned:
 		s.trial = false
 	case Failed, Unreachable, Misdirected:
@@ -275,6 +416,7 @@
 func (b *Balancer) RemoveUnlisted(listed func(registrar.Name) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	clear(b.views)
 	for name, s := range b.states {
 		if !listed(name) {
 			delete(b.states, name)
--- a/forwarder/evacuation.go
+++ b/forwarder/evacuation.go
@@ -57,7 +57,7 @@
 		if x.account != nil {
 			regions = x.account.AllowedRegions
 		}
-		return noUpstream(0).WithDetail("no upstream of service %q is in the regions %q of the route and %q of the account", x.service.Name, x.route.AllowedRegions, regions)
+		return noUpstream().WithDetail("no upstream of service %q is in the regions %q of the route and %q of the account", x.service.Name, x.route.AllowedRegions, regions)
 	}
 	return nil
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -115,8 +115,10 @@
 // Balancer chooses upstreams.
 type Balancer interface {
 	Choose(now time.Time, q balancer.Query) (balancer.Choice, bool)
-	ResponseStarted(c *balancer.Choice)
+	ResponseStarted(now time.Time, c *balancer.Choice, s balancer.Start)
 	End(now time.Time, c *balancer.Choice, r balancer.Result)
+	// RetryAfter returns the predicted time until upstreams that have rejected a request have room.
+	RetryAfter(now time.Time, q balancer.Query) time.Duration
 }
 
 // Sender sends calls to upstreams.
@@ -186,7 +188,8 @@
 	unavailableRetryAfter = 500 * time.Millisecond
 	// evacuatedRetryAfter is the Retry-After when all upstreams of a service are in evacuated zones.
 	evacuatedRetryAfter = time.Second
-	// overloadRetryAfter is the Retry-After when the upstreams of a service are full.
+	// overloadRetryAfter is the Retry-After when the last attempt failed for another reason than
+	// full upstreams, for which package balancer predicts it.
 	overloadRetryAfter = 300 * time.Millisecond
 	// maxNotExecutedSends is the number of sends beyond the attempts of the route that
 	// are allowed after upstreams reported that they did not execute the request.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -212,7 +212,7 @@
 	d.throttler = throttler.New(throttler.Config{
 		Self: s.InternalAddress, Members: d.knownPeers, MembersCurrent: d.membersCurrent, Warmup: d.warmupOf, Changed: d.hastenNotice, Recorder: rec,
 	})
-	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler})
+	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler, Recorder: rec})
 	d.pool = connector.New(connector.Config{
 		Dial: dialUpstream, ReadMetadata: c.Adapter.ParseResponseHeader, Recorder: rec,
 	})
