delegator: own saturation is no partition

Dials of a daemon whose own link is saturated time out. The Monitor took that for a partition from the upstreams, delegated requests through the same link, and stayed in that state after the load, because its probes failed as well.

After a second of saturation all services count as reachable, so that nothing is delegated, and what was known is reset. Probes go on: a real partition is found with the first group of probes after the aftermath.

TestOwnSaturationIsNoPartition and TestLoadFollowsLink guard it; the existing partition tests of delegator and launcher pass with -race.

--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -182,6 +182,47 @@
 	}
 }
 
+// Connections of an overloaded daemon fail although no upstream is gone. Guards against a daemon that takes its
+// own saturation for a partition, delegates through a saturated link, stays in that state when the load has
+// ended, or misses a real partition.
+func TestOwnSaturationIsNoPartition(t *testing.T) {
+	type phase struct {
+		load      Load
+		up        int64
+		reachable bool
+	}
+	tests := []struct {
+		name   string
+		phases []phase
+	}{
+		{"all dials time out until the load ends", []phase{{Peak, 0, true}, {Saturated, 0, true}, {Usual, 5, true}}},
+		{"partition during saturation", []phase{{Saturated, 0, true}, {Peak, 0, true}, {Usual, 0, false}, {Usual, 5, true}}},
+		{"saturation during a partition", []phase{{Usual, 0, false}, {Saturated, 0, true}, {Usual, 0, false}}},
+		{"partition ends during saturation", []phase{{Usual, 0, false}, {Saturated, 0, true}, {Saturated, 5, true}, {Usual, 5, true}}},
+		{"short peak during a partition", []phase{{Usual, 0, false}, {Peak, 0, false}, {Usual, 0, false}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var up, load atomic.Int64
+				m, upstreams := monitorOf(5, &up)
+				defer m.Close()
+				m.config.OwnLoad = func() Load { return Load(load.Load()) }
+				for i, p := range tt.phases {
+					load.Store(int64(p.load))
+					up.Store(p.up)
+					if p.up == 0 {
+						m.ReportFailure("drafts", upstreams[1])
+						m.ReportFailure("drafts", upstreams[2])
+					}
+					time.Sleep(2 * time.Second)
+					require.Equal(t, p.reachable, m.Reachable("drafts"), "phase %d", i)
+				}
+			})
+		})
+	}
+}
+
 // If a few of many upstreams are reachable, the service must not change its state with each group of
 // probes: requests would go to the others again and again.
 func TestPartlyReachableServiceStaysUnreachable(t *testing.T) {
--- a/delegator/monitor.go
+++ b/delegator/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -23,14 +24,42 @@
 	probeTimeout = 300 * time.Millisecond
 	// probeInterval is the time between two groups of probes while a service is unreachable.
 	probeInterval = 250 * time.Millisecond
+
+	// ignoredCounter counts failures that are no evidence because the daemon itself was overloaded.
+	ignoredCounter = "delegator.failures_ignored"
+)
+
+// Load is how busy the daemon itself is. Connections of an overloaded daemon fail although its network is
+// sound.
+type Load uint8
+
+const (
+	// Usual means that failed connections are those of upstreams or of the network to them.
+	Usual Load = iota
+	// Peak means that the daemon is overloaded or was a moment ago. Failures are no evidence.
+	Peak
+	// Saturated means that the daemon has been overloaded for some time. Nothing is delegated, because the
+	// daemon cannot reach other daemons any better than upstreams.
+	Saturated
 )
 
+// String returns the name that logs show.
+func (l Load) String() string {
+	names := [...]string{"usual", "peak", "saturated"}
+	if int(l) < len(names) {
+		return names[l]
+	}
+	return fmt.Sprintf("load(%d)", uint8(l))
+}
+
 // MonitorConfig holds what a Monitor needs.
 type MonitorConfig struct {
 	// Upstreams returns the addresses of a service's upstreams.
 	Upstreams func(service string) []netip.AddrPort
 	// Probe opens a connection to an upstream and closes it.
-	Probe    func(ctx context.Context, address netip.AddrPort) error
+	Probe func(ctx context.Context, address netip.AddrPort) error
+	// OwnLoad returns how busy this daemon is. It is called for each request. Nil means Usual.
+	OwnLoad  func() Load
 	Recorder *recorder.Recorder
 	// Now returns the time. Nil means time.Now.
 	Now func() time.Time
@@ -62,6 +91,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.OwnLoad == nil {
+		c.OwnLoad = func() Load { return Usual }
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Monitor{config: c, ctx: ctx, stop: stop, services: make(map[string]*serviceState)}
 }
@@ -69,12 +101,13 @@
 // Close ends the probes.
 func (m *Monitor) Close() { m.stop() }
 
-// Reachable reports whether the upstreams of a service are reachable, as far as known.
+// Reachable reports whether the upstreams of a service are reachable, as far as known. All services count as
+// reachable while the daemon is saturated.
 func (m *Monitor) Reachable(service string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.services[service]
-	return s == nil || !s.unreachable
+	return s == nil || !s.unreachable || m.config.OwnLoad() == Saturated
 }
 
 // PartlyReachable reports whether an upstream of a service that is not reachable has accepted the last
@@ -87,8 +120,13 @@
 }
 
 // ReportFailure records that a connection to an upstream could not be opened or has fallen silent. If
-// several have failed, it probes others in the background, until one accepts a connection.
+// several have failed, it probes others in the background, until one accepts a connection. Failures of an
+// overloaded daemon are ignored.
 func (m *Monitor) ReportFailure(service string, address netip.AddrPort) {
+	if m.config.OwnLoad() != Usual {
+		m.config.Recorder.Count(ignoredCounter, 1)
+		return
+	}
 	upstreams := m.config.Upstreams(service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -117,24 +155,21 @@
 }
 
 // probeUntilReachable probes groups of upstreams until most of one accept a connection. If only the first
-// group counted, a service of which a few upstreams are reachable would change its state at random.
+// group counted, a service of which a few upstreams are reachable would change its state at random. It also
+// goes on while the daemon is overloaded, so that a partition at that time is found soon after.
 func (m *Monitor) probeUntilReachable(service string, s *serviceState) {
 	for {
 		accepted, probed := m.probe(m.config.Upstreams(service))
+		load := m.config.OwnLoad()
 		m.mu.Lock()
-		// Without upstreams there is nothing that another daemon could reach instead.
-		reachable := 2*accepted > probed || accepted > 0 && !s.unreachable || probed == 0
-		changed := s.unreachable == reachable
-		s.unreachable, s.partly = !reachable, accepted > 0
-		if reachable {
-			s.probing = false
-			clear(s.failures)
-		}
+		wasUnreachable := s.unreachable
+		s.update(load, accepted, probed)
+		probing, unreachable := s.probing, s.unreachable
 		m.mu.Unlock()
-		if changed {
-			m.config.Recorder.Event(recorder.ServiceReachability, "service", service, "reachable", reachable)
+		if unreachable != wasUnreachable {
+			m.config.Recorder.Event(recorder.ServiceReachability, "service", service, "reachable", !unreachable, "own_load", load)
 		}
-		if reachable {
+		if !probing {
 			return
 		}
 		if sleeper.Sleep(m.ctx, probeInterval) != nil {
@@ -143,6 +178,24 @@
 	}
 }
 
+// update takes the results of a group of probes. Probing ends when they show that the service is reachable.
+// Failed probes of an overloaded daemon show nothing. While it is saturated, what was known before is out of
+// date as well.
+func (s *serviceState) update(load Load, accepted, probed int) {
+	// Without upstreams there is nothing that another daemon could reach instead.
+	reachable := 2*accepted > probed || accepted > 0 && !s.unreachable || probed == 0
+	switch {
+	case reachable:
+		s.unreachable, s.partly, s.probing = false, accepted > 0, false
+		clear(s.failures)
+	case load == Saturated:
+		s.unreachable, s.partly = false, false
+		clear(s.failures)
+	case load == Usual:
+		s.unreachable, s.partly = true, accepted > 0
+	}
+}
+
 // OthersReachable reports whether one of probeCount random upstreams of a service accepts a connection, not
 // counting the given one. It is true if there are no others.
 func (m *Monitor) OthersReachable(service string, except netip.AddrPort) bool {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -221,7 +221,8 @@
 	}
 	d.monitor = delegator.NewMonitor(delegator.MonitorConfig{
 		Upstreams: d.upstreamAddresses, Recorder: rec,
-		Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
+		OwnLoad: func() delegator.Load { return d.saturation.load(time.Now(), d.link) },
+		Probe:   func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 	})
 	d.forwarder = forwarder.New(forwarder.Config{
 		Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
--- a/launcher/saturation.go
+++ b/launcher/saturation.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"laburnumline/delegator"
 )
 
 const (
@@ -16,6 +18,9 @@
 	// daemons after two failed checks.
 	saturationTime = time.Second
 	recoveryTime   = 2 * time.Second
+	// aftermath is how long after saturation failed connections are still due to it: connectTimeout
+	// and a few round trips through queues that drain.
+	aftermath = 800 * time.Millisecond
 )
 
 // linkSaturation detects that callers send more than the VM's network link carries. The daemon
@@ -26,6 +31,9 @@
 	// lastUnsaturated is when the utilization was last below saturatedUtilization,
 	// lastNotRecovered when it was last at or above recoveredUtilization.
 	lastUnsaturated, lastNotRecovered time.Time
+	// lastPeak is when the utilization was last at or above saturatedUtilization, in nanoseconds since
+	// 1970, or zero.
+	lastPeak atomic.Int64
 }
 
 // linkMeter measures the fraction of the link's bandwidth that is in use in each direction.
@@ -35,6 +43,9 @@
 func (s *linkSaturation) update(now time.Time, meter linkMeter) {
 	in, out := meter.Utilization()
 	utilization := max(in, out)
+	if utilization >= saturatedUtilization {
+		s.lastPeak.Store(now.UnixNano())
+	}
 	if utilization < saturatedUtilization || s.lastUnsaturated.IsZero() {
 		s.lastUnsaturated = now
 	}
@@ -48,3 +59,18 @@
 		s.saturated.Store(false)
 	}
 }
+
+// load returns the load of the daemon as package delegator distinguishes it. The link counts as saturated only
+// until the aftermath of its last peak, which is before the daemon is ready again.
+func (s *linkSaturation) load(now time.Time, meter linkMeter) delegator.Load {
+	if in, out := meter.Utilization(); max(in, out) >= saturatedUtilization {
+		s.lastPeak.Store(now.UnixNano())
+	}
+	switch peak := s.lastPeak.Load(); {
+	case peak == 0 || now.UnixNano()-peak >= int64(aftermath):
+		return delegator.Usual
+	case s.saturated.Load():
+		return delegator.Saturated
+	}
+	return delegator.Peak
+}
--- a/launcher/saturation_test.go
+++ b/launcher/saturation_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumline/delegator"
 )
 
 // constantUtilization is a linkMeter that returns the same utilization at each call.
@@ -41,3 +43,30 @@
 		require.Equal(t, s.saturated, saturation.saturated.Load(), "step %d", i)
 	}
 }
+
+// Guards against failures that count as those of a partition from the first full window of a saturated link
+// on, and against a daemon that serves no request through others for 2 s after its load has ended.
+func TestLoadFollowsLink(t *testing.T) {
+	steps := []struct {
+		utilization constantUtilization
+		duration    time.Duration
+		load        delegator.Load
+	}{
+		{utilization: 0.3, duration: 5 * time.Second, load: delegator.Usual},
+		{utilization: 0.8, duration: 250 * time.Millisecond, load: delegator.Peak},
+		{utilization: 0.3, duration: 500 * time.Millisecond, load: delegator.Peak},
+		{utilization: 0.3, duration: 500 * time.Millisecond, load: delegator.Usual},
+		{utilization: 0.8, duration: 1250 * time.Millisecond, load: delegator.Saturated},
+		{utilization: 0.3, duration: 500 * time.Millisecond, load: delegator.Saturated},
+		{utilization: 0.3, duration: 500 * time.Millisecond, load: delegator.Usual},
+	}
+	var saturation linkSaturation
+	now := time.Unix(1_000_000, 0)
+	for i, s := range steps {
+		for range s.duration / (250 * time.Millisecond) {
+			now = now.Add(250 * time.Millisecond)
+			saturation.update(now, s.utilization)
+		}
+		require.Equal(t, s.load, saturation.load(now, s.utilization), "step %d", i)
+	}
+}
