admitter, forwarder, launcher: an overloaded daemon refuses before the body

A small daemon that got several times its share accepted everything: its callers' deadlines passed while bodies and responses shared a saturated link. Nothing slowed it down but readiness, which existing connections ignore.

The new package admitter decides from the headers, by utilization of the link, bytes of admitted bodies that have not been read, delay of a goroutine after a timer, connections, memory and bytes of requests in progress. Accounts over their fair share are refused first, then the least urgent requests. Refusals are 503 'overloaded' with a Retry-After at random and Connection: close; delegated requests are declined. A resource without a limit in the settings (cpuQuota or cpuCores, maxFds less 200, memoryLimitMb, bandwidthMbps) is not considered.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"laburnumline/admitter"
 	"laburnumline/apportioner"
 	"laburnumline/contractor"
 	"laburnumline/quarantiner"
@@ -33,6 +34,8 @@
 	body     []byte
 	deadline time.Time
 
+	// admitted is what the request occupies of the daemon, or nil.
+	admitted    *admitter.Request
 	reservation *apportioner.Reservation
 	// sends counts attempts that reached an upstream, executions those in which the
 	// upstream may have executed the request.
@@ -82,7 +85,7 @@
 	return x.account.Name
 }
 
-// prepare finds the route, client account and service, and reads the body.
+// prepare finds the route, client account and service, and reads the body if the daemon is not overloaded.
 func (x *exchange) prepare(ctx context.Context) *refuser.Refusal {
 	r := x.request
 	table := x.forwarder.config.Tables.Table()
@@ -103,7 +106,14 @@
 		return refuser.New(refuser.NoUpstream, "route").WithRetryAfter(unavailableRetryAfter).WithDetail("route %q selects a service that is not configured", route.Name)
 	}
 	x.setDeadline()
-	return x.readBody(ctx, table.Limits().BodyBytes)
+	if refusal := x.admit(); refusal != nil {
+		return refusal
+	}
+	refusal := x.readBody(ctx, table.Limits().BodyBytes)
+	if x.admitted != nil {
+		x.forwarder.config.Admission.BodyRead(time.Now(), x.admitted)
+	}
+	return refusal
 }
 
 func (x *exchange) authorize(table *resolver.Table) *refuser.Refusal {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -162,6 +162,8 @@
 	Retries    Retries
 	Quarantine Quarantine
 	Permits    Permits
+	// Admission may be nil, in which case all requests are admitted.
+	Admission Admission
 	// Reachability and Delegate may be nil, in which case the daemon sends all requests itself.
 	Reachability Reachability
 	Delegate     Delegate
@@ -213,7 +215,12 @@
 // http.ErrAbortHandler if the response fails after a part of it was written.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	x := &exchange{forwarder: f, request: r, writer: w, sends: r.Executions, executions: r.Executions}
+	defer x.endAdmission()
 	if refusal := x.prepare(ctx); refusal != nil {
+		if refusal.Reason == refuser.Overloaded {
+			x.refuseOverloaded(refusal)
+			return
+		}
 		x.writeRefusal(refusal)
 		return
 	}
--- a/gauger/gauger.go
+++ b/gauger/gauger.go
@@ -1,4 +1,4 @@
-// Package gauger measures the utilization of a daemon's network link.
+// Package gauger measures the utilization of a daemon's network link and counts its connections.
 //
 // The links of VMs differ widely in bandwidth, and clients are distributed over daemons
 // without regard to it. A daemon whose link is saturated delays prompts, streams and
@@ -16,6 +16,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,6 +40,7 @@
 // Gauger counts the bytes of connections. It is safe for concurrent use.
 type Gauger struct {
 	config Config
+	open   atomic.Int64 // connections
 
 	mu          sync.Mutex
 	in, out     [slotCount]int64 // bytes per slot
@@ -67,6 +69,27 @@
 	return float64(sum(g.in)) / capacity, float64(sum(g.out)) / capacity
 }
 
+// recentSlots is the number of complete slots of Recent.
+const recentSlots = 3
+
+// Recent returns the fraction of the bandwidth that was used in the busier direction over the last recentSlots
+// complete slots.
+func (g *Gauger) Recent() float64 {
+	if g.config.BytesPerSecond <= 0 {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance()
+	in, out := int64(0), int64(0)
+	for i := 1; i <= recentSlots; i++ {
+		slot := (g.currentSlot + slotCount - i) % slotCount
+		in += g.in[slot]
+		out += g.out[slot]
+	}
+	return float64(max(in, out)) / (g.config.BytesPerSecond * (recentSlots * slotDuration).Seconds())
+}
+
 func sum(counts [slotCount]int64) int64 {
 	total := int64(0)
 	for _, n := range counts {
@@ -102,10 +125,18 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c, gauger: g}, nil
+		return g.wrap(c), nil
 	}
 }
 
+// Open returns the number of connections that are open.
+func (g *Gauger) Open() int { return int(g.open.Load()) }
+
+func (g *Gauger) wrap(c net.Conn) *conn {
+	g.open.Add(1)
+	return &conn{Conn: c, gauger: g}
+}
+
 // Listener returns a listener that accepts connections whose bytes are counted.
 func (g *Gauger) Listener(l net.Listener) net.Listener { return &listener{Listener: l, gauger: g} }
 
@@ -119,13 +150,30 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, gauger: l.gauger}, nil
+	return l.gauger.wrap(c), nil
 }
 
 // conn counts the bytes of one connection.
 type conn struct {
 	net.Conn
 	gauger *Gauger
+	closed atomic.Bool
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.gauger.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending direction, which net/http does before it closes a connection with unread bytes.
+func (c *conn) CloseWrite() error {
+	if underlying, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return underlying.CloseWrite()
+	}
+	return nil
 }
 
 func (c *conn) Read(b []byte) (int, error) {
--- a/gauger/gauger_test.go
+++ b/gauger/gauger_test.go
@@ -39,6 +39,20 @@
 	require.Zero(t, in)
 }
 
+// Guards against a recent utilization that includes the slot that has just begun, which would be too low, or
+// bytes that are long gone.
+func TestRecentCoversCompleteSlots(t *testing.T) {
+	c := &fakeClock{now: time.Unix(1000, 0)}
+	g := New(Config{BytesPerSecond: 10_000, Now: c.Now})
+	g.count(600, 1500)
+	require.Zero(t, g.Recent())
+	c.now = c.now.Add(slotDuration)
+	require.InDelta(t, 1, g.Recent(), 1e-9)
+	c.now = c.now.Add(recentSlots * slotDuration)
+	require.Zero(t, g.Recent())
+	require.Zero(t, New(Config{}).Recent())
+}
+
 // Guards against a daemon that takes a link of unknown bandwidth for saturated.
 func TestUtilizationIsZeroForUnknownBandwidth(t *testing.T) {
 	g := New(Config{})
@@ -86,6 +100,11 @@
 	}
 	_, err = c1.(syscall.Conn).SyscallConn()
 	require.NoError(t, err)
+	require.Equal(t, 1, client.Open())
+	require.NoError(t, c1.Close())
+	_ = c1.Close() // a second close must not be counted
+	require.Zero(t, client.Open())
+	require.Zero(t, server.Open())
 	_, err = (&conn{}).SyscallConn()
 	require.ErrorIs(t, err, errNoDescriptor)
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -30,6 +30,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"laburnumline/admitter"
 	"laburnumline/announcer"
 	"laburnumline/apportioner"
 	"laburnumline/balancer"
@@ -68,6 +69,10 @@
 	StoreAddress     netip.AddrPort
 	// MemoryLimit is that of the process, in bytes.
 	MemoryLimit int64
+	// Cores is the number of cores that the VM may use, and Descriptors the number of file
+	// descriptors for connections. Zero means unknown.
+	Cores       float64
+	Descriptors int
 	// LinkBytesPerSecond is the bandwidth of the VM's network link in each direction, or zero
 	// if it is unknown.
 	LinkBytesPerSecond float64
@@ -150,6 +155,7 @@
 	streamConn              atomic.Pointer[net.UDPConn]
 	pool                    *connector.Pool
 	link                    *gauger.Gauger
+	admitter                *admitter.Admitter
 	monitor                 *delegator.Monitor
 	combiner                *combiner.Combiner
 	store                   *relayer.Store
@@ -179,6 +185,7 @@
 	s, rec := c.Settings, c.Recorder
 	d.incarnation = contractor.Incarnation(rand.Uint64())
 	d.link = gauger.New(gauger.Config{BytesPerSecond: s.LinkBytesPerSecond})
+	d.admitter = admitter.New(admitter.Config{Limits: s.admissionLimits(), Random: rand.Float64, Recorder: rec})
 	dial := d.link.Dialer(connector.Dialer(connectTimeout, unacknowledgedTimeout))
 	dialUpstream := dial
 	if c.DialUpstream != nil {
@@ -221,11 +228,11 @@
 	}
 	d.monitor = delegator.NewMonitor(delegator.MonitorConfig{
 		Upstreams: d.upstreamAddresses, Recorder: rec,
-		OwnLoad: func() delegator.Load { return d.saturation.load(time.Now(), d.link) },
+		OwnLoad: d.ownLoad,
 		Probe:   func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 	})
 	d.forwarder = forwarder.New(forwarder.Config{
-		Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
+		Admission: d.admitter, Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
 		Retries:     retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
@@ -313,6 +320,7 @@
 	tasks.Go(func() error { d.keepSoftware(background); return nil })
 	tasks.Go(func() error { d.shares.Run(background); return nil })
 	tasks.Go(func() error { d.maintain(background); return nil })
+	tasks.Go(func() error { d.observeLoad(background); return nil })
 	tasks.Go(func() error { return d.announce(background) })
 	tasks.Go(func() error { return d.serveTransfers(background) })
 	tasks.Go(func() error { return d.serveStreams(background) })
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -45,6 +45,7 @@
 	attempts atomic.Int64
 
 	storeAddress string
+	descriptors  int // limit of the daemon that is started next
 }
 
 func listenLoopback(t *testing.T) net.Listener {
@@ -85,6 +86,7 @@
 	daemon := launcher.New(launcher.Config{
 		Settings: launcher.Settings{
 			Name: "edge-1", Zone: "z", FrontendAddress: addressOf(f.front), ReadinessAddress: addressOf(f.ready), RetryRatio: 10, GracePeriod: time.Minute,
+			Descriptors: f.descriptors,
 		},
 		Adapter:  platform.Adapter(store),
 		Listen:   func(a netip.AddrPort) (net.Listener, error) { return listeners[a], nil },
--- a/launcher/saturation.go
+++ b/launcher/saturation.go
@@ -1,9 +1,13 @@
 package launcher
 
 import (
+	"context"
+	"runtime"
+	"runtime/metrics"
 	"sync/atomic"
 	"time"
 
+	"laburnumline/admitter"
 	"laburnumline/delegator"
 )
 
@@ -74,3 +78,53 @@
 	}
 	return delegator.Peak
 }
+
+// ownLoad returns the load of the daemon as package delegator distinguishes it, from its link, CPU and
+// descriptors.
+func (d *Daemon) ownLoad() delegator.Load {
+	now := time.Now()
+	load := d.saturation.load(now, d.link)
+	strained, limiting := d.admitter.Strained(now, aftermath)
+	switch {
+	case strained && limiting:
+		return delegator.Saturated
+	case strained:
+		return max(load, delegator.Peak)
+	}
+	return load
+}
+
+// admissionLimits returns the limits of the VM.
+func (s Settings) admissionLimits() admitter.Limits {
+	return admitter.Limits{LinkBytesPerSecond: s.LinkBytesPerSecond, Cores: s.Cores, Descriptors: s.Descriptors, Memory: s.MemoryLimit}
+}
+
+// observeLoad measures what the daemon uses, until ctx ends.
+func (d *Daemon) observeLoad(ctx context.Context) {
+	if d.config.Settings.admissionLimits() == (admitter.Limits{}) {
+		return
+	}
+	memory := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	t := time.NewTimer(admitter.SampleInterval)
+	defer t.Stop()
+	due := time.Now().Add(admitter.SampleInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		// A timer alone is resumed before what waits for the CPU.
+		d.admitter.Tick(time.Now())
+		runtime.Gosched()
+		now := time.Now()
+		metrics.Read(memory)
+		in, out := d.link.Utilization()
+		d.admitter.Observe(now, admitter.Sample{
+			Link: max(in, out), RecentLink: d.link.Recent(), TickDelay: now.Sub(due), Descriptors: d.link.Open(),
+			Memory: int64(memory[0].Value.Uint64() - memory[1].Value.Uint64()),
+		})
+		due = time.Now().Add(admitter.SampleInterval)
+		t.Reset(admitter.SampleInterval)
+	}
+}
--- a/recorder/catalogue_daemon.go
+++ b/recorder/catalogue_daemon.go
@@ -14,6 +14,9 @@
 	SettingsSkipped Code = 6007
 	// ReadinessChanged is logged when the daemon becomes ready or stops being ready.
 	ReadinessChanged Code = 6008
+	// DaemonOverloaded is logged when the daemon begins or ends to refuse requests because it lacks a
+	// resource.
+	DaemonOverloaded Code = 6201
 	// HTTPServerError is logged for each error message of an HTTP server, such as a failed TLS
 	// handshake.
 	HTTPServerError Code = 6101
@@ -30,5 +33,7 @@
 	SettingsSkipped:  "settings_skipped",
 	ReadinessChanged: "readiness_changed",
 
+	DaemonOverloaded: "daemon_overloaded",
+
 	HTTPServerError: "http_server_error",
 })
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -67,6 +67,7 @@
 	SlowRequest
 	UpstreamLimited
 	SoftwareUnknown
+	Overloaded
 	reasonCount
 )
 
@@ -106,6 +107,7 @@
 	SlowRequest:          {"slow_request", http.StatusRequestTimeout},
 	UpstreamLimited:      {"upstream_limited", http.StatusServiceUnavailable},
 	SoftwareUnknown:      {"software_unknown", http.StatusServiceUnavailable},
+	Overloaded:           {"overloaded", http.StatusServiceUnavailable},
 }
 
 // String returns the name used in responses and metrics.
