--- a/launcher/saturation.go
+++ b/launcher/saturation.go
@@ -1,8 +1,14 @@
 package launcher
 
 import (
+	"context"
+	"runtime"
+	"runtime/metrics"
 	"sync/atomic"
 	"time"
+
+	"laburnumline/admitter"
+	"laburnumline/delegator"
 )
 
 const (
@@ -16,6 +22,9 @@
 	// daemons after two failed checks.
 	saturationTime = time.Second
 	recoveryTime   = 2 * time.Second
+	// aftermath is how long after saturation failed connections are still due to it: connectTimeout
+	// and a few round trips through queues that drain.
+	aftermath = 800 * time.Millisecond
 )
 
 // linkSaturation detects that callers send more than the VM's network link carries. The daemon
@@ -26,6 +35,9 @@
 	// lastUnsaturated is when the utilization was last below saturatedUtilization,
 	// lastNotRecovered when it was last at or above recoveredUtilization.
 	lastUnsaturated, lastNotRecovered time.Time
+	// lastPeak is when the utilization was last at or above saturatedUtilization, in nanoseconds since
+	// 1970, or zero.
+	lastPeak atomic.Int64
 }
 
 // linkMeter measures the fraction of the link's bandwidth that is in use in each direction.
@@ -35,6 +47,9 @@
 func (s *linkSaturation) update(now time.Time, meter linkMeter) {
 	in, out := meter.Utilization()
 	utilization := max(in, out)
+	if utilization >= saturatedUtilization {
+		s.lastPeak.Store(now.UnixNano())
+	}
 	if utilization < saturatedUtilization || s.lastUnsaturated.IsZero() {
 		s.lastUnsaturated = now
 	}
@@ -48,3 +63,68 @@
 		s.saturated.Store(false)
 	}
 }
+
+// load returns the load of the daemon as package delegator distinguishes it. The link counts as saturated only
+// until the aftermath of its last peak, which is before the daemon is ready again.
+func (s *linkSaturation) load(now time.Time, meter linkMeter) delegator.Load {
+	if in, out := meter.Utilization(); max(in, out) >= saturatedUtilization {
+		s.lastPeak.Store(now.UnixNano())
+	}
+	switch peak := s.lastPeak.Load(); {
+	case peak == 0 || now.UnixNano()-peak >= int64(aftermath):
+		return delegator.Usual
+	case s.saturated.Load():
+		return delegator.Saturated
+	}
+	return delegator.Peak
+}
+
+// ownLoad returns the load of the daemon as package delegator distinguishes it, from its link, CPU and
+// descriptors.
+func (d *Daemon) ownLoad() delegator.Load {
+	now := time.Now()
+	load := d.saturation.load(now, d.link)
+	strained, limiting := d.admitter.Strained(now, aftermath)
+	switch {
+	case strained && limiting:
+		return delegator.Saturated
+	case strained:
+		return max(load, delegator.Peak)
+	}
+	return load
+}
+
+// admissionLimits returns the limits of the VM.
+func (s Settings) admissionLimits() admitter.Limits {
+	return admitter.Limits{LinkBytesPerSecond: s.LinkBytesPerSecond, Cores: s.Cores, Descriptors: s.Descriptors, Memory: s.MemoryLimit}
+}
+
+// observeLoad measures what the daemon uses, until ctx ends.
+func (d *Daemon) observeLoad(ctx context.Context) {
+	if d.config.Settings.admissionLimits() == (admitter.Limits{}) {
+		return
+	}
+	memory := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	t := time.NewTimer(admitter.SampleInterval)
+	defer t.Stop()
+	due := time.Now().Add(admitter.SampleInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		// A timer alone is resumed before what waits for the CPU.
+		d.admitter.Tick(time.Now())
+		runtime.Gosched()
+		now := time.Now()
+		metrics.Read(memory)
+		in, out := d.link.Utilization()
+		d.admitter.Observe(now, admitter.Sample{
+			Link: max(in, out), RecentLink: d.link.Recent(), TickDelay: now.Sub(due), Descriptors: d.link.Open(),
+			Memory: int64(memory[0].Value.Uint64() - memory[1].Value.Uint64()),
+		})
+		due = time.Now().Add(admitter.SampleInterval)
+		t.Reset(admitter.SampleInterval)
+	}
+}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -68,6 +68,7 @@
 	UpstreamLimited
 	SoftwareUnknown
 	Evacuated
+	Overloaded
 	reasonCount
 )
 
@@ -108,6 +109,7 @@
 	UpstreamLimited:      {"upstream_limited", http.StatusServiceUnavailable},
 	SoftwareUnknown:      {"software_unknown", http.StatusServiceUnavailable},
 	Evacuated:            {"evacuated", http.StatusServiceUnavailable},
+	Overloaded:           {"overloaded", http.StatusServiceUnavailable},
 }
 
 // String returns the name used in responses and metrics.
