registrar: a lost software history is not complete

Cause: after all daemons died, only `software/history` tells which versions may have begun streams, and whatever it lacked counted as not having happened. An absent or lost key, a service without an entry, and a copy from before a restore all counted as complete; a value that cannot be decoded was never replaced. A daemon whose list was older replaced what another had stored, and a version that came back for a moment kept its first time of disappearance.

Ruled out: a version whose upstreams have just left is kept for a minute; clocks that differ by 5 s do not end that.

Change: a service of which the store has nothing gets an unknown version that expires after a minute and is stored, so that daemons that start later, and older ones, refuse unknown streams as well. A fleet that starts for the first time, which no registered daemon and no restore speak against, is complete. The history has the era in which it was written. Writes merge. The registrar knows which listed versions are stored; daemons that do not store changes learn it by a notice or read the key after 1, 2, 4 and 8 s.

Each new test fails with its part of the change left out (five mutations; that of the era did not build and was not repeated).

--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -68,6 +68,10 @@
 	// DelegationFailed is logged when a request cannot be sent to another daemon while this one
 	// reaches no upstream of its service, or when its response is lost.
 	DelegationFailed Code = 2409
+	// SoftwareUncertain is logged when software versions that this daemon does not know may have
+	// begun streams of a service: the stored history does not contain the service, is older than a
+	// restore of the store, was lost, or cannot be read.
+	SoftwareUncertain Code = 2420
 )
 
 var _ = declare(eventNames{
@@ -99,4 +103,5 @@
 	StreamMessageFailed: "stream_message_failed",
 	SoftwareNotStored:   "software_not_stored",
 	DelegationFailed:    "delegation_failed",
+	SoftwareUncertain:   "software_uncertain",
 })
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -86,6 +86,8 @@
 	generation atomic.Int64
 	software   atomic.Pointer[softwareView]
 	createdAt  time.Time
+	// softwareState is protected by mu.
+	softwareState softwareState
 }
 
 type entry struct {
--- a/registrar/software_test.go
+++ b/registrar/software_test.go
@@ -9,6 +9,7 @@
 	"laburnumline/contractor"
 	"laburnumline/emulator"
 	"laburnumline/persister"
+	"laburnumline/resolver"
 )
 
 func newSoftwareRegistrar(now *time.Time) *Registrar {
@@ -143,3 +144,212 @@
 	_, complete = r.SoftwareVersions("drafts")
 	require.True(t, complete)
 }
+
+// startedStore returns the store of a daemon that starts. Others have run before if member is true.
+func startedStore(t *testing.T, store *emulator.Store, r *Registrar, member bool) *SoftwareStore {
+	t.Helper()
+	s := &SoftwareStore{Store: store, Registrar: r, Timeout: time.Second, Era: store.Era, MemberPrefix: "member/"}
+	if member {
+		_, err := store.Commit(t.Context(), persister.Txn{Puts: []persister.Put{{Key: "member/a"}}})
+		require.NoError(t, err)
+	}
+	return s
+}
+
+// The history was lost although daemons have run, cannot be read, or is older than a restore of the store. Versions that
+// it lacks may have begun streams, for all daemons that start within a minute. No daemon may take the next history
+// that is stored for complete.
+func TestLostHistoryIsIncomplete(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(t *testing.T, store *emulator.Store)
+	}{
+		{"absent", func(t *testing.T, store *emulator.Store) {
+			_, err := store.Commit(t.Context(), persister.Txn{Deletes: []string{softwareKey}})
+			require.NoError(t, err)
+		}},
+		{"damaged", func(t *testing.T, store *emulator.Store) {
+			_, err := store.Commit(t.Context(), persister.Txn{Puts: []persister.Put{{Key: softwareKey, Value: []byte{0xff}}}})
+			require.NoError(t, err)
+		}},
+		{"restored", func(_ *testing.T, store *emulator.Store) { store.Restore(store.Copy()) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := emulator.NewStore(emulator.StoreConfig{})
+			now := time.Unix(1000, 0)
+			first := newSoftwareRegistrar(&now)
+			first.Apply(change("a", "v1"))
+			require.NoError(t, startedStore(t, store, first, false).Load(t.Context()))
+			_, complete := first.SoftwareVersions("drafts")
+			require.True(t, complete, "no daemon had run before")
+			tt.lose(t, store)
+			for range 2 {
+				started := newSoftwareRegistrar(&now)
+				started.Apply(change("b", "v2"))
+				s := startedStore(t, store, started, true)
+				require.NoError(t, s.Load(t.Context()))
+				_, complete = started.SoftwareVersions("drafts")
+				require.False(t, complete)
+				require.NoError(t, s.Save(t.Context()))
+				now = now.Add(time.Second)
+			}
+			now = now.Add(SoftwareRetention)
+			started := newSoftwareRegistrar(&now)
+			started.Apply(change("b", "v2"))
+			require.NoError(t, startedStore(t, store, started, true).Load(t.Context()))
+			_, complete = started.SoftwareVersions("drafts")
+			require.True(t, complete)
+		})
+	}
+}
+
+// Upstreams of a new fleet appear after its daemons. The daemon that created the history knows that no version
+// was lost, the others do not. A fleet that is killed then must not refuse streams of a single version.
+func TestFirstStartIsComplete(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	first, other := newSoftwareRegistrar(&now), newSoftwareRegistrar(&now)
+	firstStore := startedStore(t, store, first, false)
+	require.NoError(t, firstStore.Load(t.Context()))
+	require.True(t, firstStore.Created())
+	otherStore := startedStore(t, store, other, true)
+	require.NoError(t, otherStore.Load(t.Context()))
+	require.False(t, otherStore.Created())
+	for _, r := range []*Registrar{first, other} {
+		r.Apply(change("a", "v1"))
+	}
+	_, complete := other.SoftwareVersions("drafts")
+	require.False(t, complete)
+	require.NoError(t, otherStore.Save(t.Context()))
+	require.NoError(t, firstStore.Save(t.Context()))
+	started := newSoftwareRegistrar(&now)
+	started.Apply(change("a", "v1"))
+	require.NoError(t, startedStore(t, store, started, true).Load(t.Context()))
+	versions, complete := started.SoftwareVersions("drafts")
+	require.True(t, complete)
+	require.Equal(t, []string{"v1"}, versions)
+}
+
+// A daemon whose list is older stores another change. What a daemon with a newer list has stored must stay.
+func TestOlderListKeepsStoredVersions(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	newer, older := newSoftwareRegistrar(&now), newSoftwareRegistrar(&now)
+	for _, r := range []*Registrar{newer, older} {
+		r.Apply(change("a", "v1"))
+		r.Apply(change("b", "v1.1"))
+	}
+	newerStore, olderStore := startedStore(t, store, newer, false), startedStore(t, store, older, false)
+	listRevision := contractor.Revision(0)
+	olderStore.ListRevision = func() contractor.Revision { return listRevision }
+	require.NoError(t, newerStore.Load(t.Context()))
+	require.NoError(t, olderStore.Load(t.Context()))
+	newer.Apply(change("c", "v2"))
+	require.NoError(t, newerStore.Save(t.Context()))
+	older.Apply(change("b", ""))
+	require.NoError(t, olderStore.Save(t.Context()))
+	stored, err := newerStore.read(t.Context())
+	require.NoError(t, err)
+	require.Zero(t, stored.history["drafts"]["v2"], "listed")
+	require.Contains(t, stored.history["drafts"], "v2")
+
+	now, listRevision = now.Add(staleListDelay), stored.revision+1
+	require.NoError(t, olderStore.Save(t.Context()))
+	stored, err = newerStore.read(t.Context())
+	require.NoError(t, err)
+	require.NotZero(t, stored.history["drafts"]["v2"], "the list of the daemon is newer and does not have it")
+	require.NotZero(t, stored.history["drafts"]["v1.1"])
+}
+
+// A version comes back for less time than a check takes, just before the first time at which it disappeared
+// expires. A daemon that starts has to know it.
+func TestVersionThatComesBackIsStoredWithItsLastTime(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	r := newSoftwareRegistrar(&now)
+	r.Apply(change("a", "v1"))
+	r.Apply(change("b", "v2"))
+	s := startedStore(t, store, r, false)
+	require.NoError(t, s.Load(t.Context()))
+	r.Apply(change("b", ""))
+	require.NoError(t, s.Save(t.Context()))
+	now = now.Add(SoftwareRetention - time.Second)
+	r.Apply(change("b", "v2"))
+	r.Apply(change("b", ""))
+	require.NoError(t, s.Save(t.Context()))
+	now = now.Add(5 * time.Second)
+	started := newSoftwareRegistrar(&now)
+	started.Apply(change("a", "v1"))
+	require.NoError(t, startedStore(t, store, started, true).Load(t.Context()))
+	versions, _ := started.SoftwareVersions("drafts")
+	require.Equal(t, []string{"v1", "v2"}, versions)
+}
+
+// Streams begin only at stored versions while their upstreams are listed. Daemons that do not store changes learn of
+// them by notices, or read them a second later. Without a change, nothing calls the store.
+func TestNewStreamsBeginAtStoredVersions(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	writer, reader := newSoftwareRegistrar(&now), newSoftwareRegistrar(&now)
+	writerStore, readerStore := startedStore(t, store, writer, false), startedStore(t, store, reader, false)
+	apply := func(key, software string) {
+		writer.Apply(change(key, software))
+		reader.Apply(change(key, software))
+	}
+	usable := func(r *Registrar) (names []Name) {
+		for _, u := range r.WithRecordedSoftware("drafts", r.Of("drafts")) {
+			names = append(names, u.Name)
+		}
+		return names
+	}
+	apply("a", "v1")
+	require.NoError(t, writerStore.Load(t.Context()))
+	require.NoError(t, readerStore.Load(t.Context()))
+	apply("b", "v2")
+	require.Equal(t, []Name{"a"}, usable(writer))
+	require.Equal(t, []Name{"a"}, usable(reader))
+	noticed := false
+	writerStore.Recorded = func(_ resolver.ServiceName, software string) { noticed = noticed || software == "v2" }
+	readerStore.Noticed = func(_ resolver.ServiceName, software string) bool { return noticed && software == "v2" }
+	require.NoError(t, readerStore.Refresh(t.Context()))
+	require.NoError(t, writerStore.Save(t.Context()))
+	require.Equal(t, []Name{"a", "b"}, usable(writer))
+	require.NoError(t, readerStore.Refresh(t.Context()))
+	require.Equal(t, []Name{"a", "b"}, usable(reader))
+
+	apply("c", "v3")
+	readerStore.Noticed = nil
+	require.NoError(t, readerStore.Refresh(t.Context()))
+	require.NoError(t, writerStore.Save(t.Context()))
+	before := store.Counts()
+	require.NoError(t, readerStore.Refresh(t.Context()))
+	require.Equal(t, before, store.Counts())
+	now = now.Add(firstReadDelay)
+	require.NoError(t, readerStore.Refresh(t.Context()))
+	require.Equal(t, []Name{"a", "b", "c"}, usable(reader))
+	before = store.Counts()
+	for range 100 {
+		now = now.Add(time.Second)
+		apply("a", "v1")
+		require.NoError(t, writerStore.Save(t.Context()))
+		require.NoError(t, readerStore.Refresh(t.Context()))
+	}
+	require.Equal(t, before, store.Counts(), "no change")
+}
+
+// A version is listed and nobody stores it. A daemon must not read the history several times per second meanwhile.
+func TestReadsForAVersionThatNobodyStoresAreFew(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	r := newSoftwareRegistrar(&now)
+	s := startedStore(t, store, r, true)
+	require.NoError(t, s.Load(t.Context()))
+	r.Apply(change("a", "v1"))
+	before := store.Counts().Reads
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		require.NoError(t, s.Refresh(t.Context()))
+	}
+	require.LessOrEqual(t, store.Counts().Reads-before, int64(3))
+}
