launcher: notices of stored software versions, registration after the history

The two daemons that store changes check every 100 ms instead of 500 ms whether there are any, which calls nothing in a steady state, and send a notice of each stored version to all others: a record of a stream that no attempt begins, which older daemons keep without effect. A daemon registers once the software history is loaded, or after 1 s, so that a registered daemon shows that a missing history was lost. A list of upstreams that has not been read is not current.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -148,6 +148,7 @@
 	throttler               *throttler.Throttler
 	pinner                  *pinner.Pinner
 	streamConn              atomic.Pointer[net.UDPConn]
+	softwareLoaded          chan struct{} // closed when the software history is loaded
 	pool                    *connector.Pool
 	link                    *gauger.Gauger
 	monitor                 *delegator.Monitor
@@ -175,7 +176,7 @@
 	if c.Listen == nil {
 		c.Listen = listen
 	}
-	d := &Daemon{config: c, activeTable: &resolver.ActiveTable{}, severalVersions: make(map[resolver.ServiceName]bool)}
+	d := &Daemon{config: c, activeTable: &resolver.ActiveTable{}, severalVersions: make(map[resolver.ServiceName]bool), softwareLoaded: make(chan struct{})}
 	s, rec := c.Settings, c.Recorder
 	d.incarnation = contractor.Incarnation(rand.Uint64())
 	d.link = gauger.New(gauger.Config{BytesPerSecond: s.LinkBytesPerSecond})
@@ -295,8 +296,14 @@
 	return d.upstreamReplicator.LastFailure()
 }
 
-// upstreamListAge returns the time since the store last confirmed the list of upstreams.
-func (d *Daemon) upstreamListAge() time.Duration { return d.upstreamReplicator.Age(time.Now()) }
+// upstreamListAge returns the time since the store last confirmed the list of upstreams. Before the first
+// list it is unlimited.
+func (d *Daemon) upstreamListAge() time.Duration {
+	if !d.upstreamReplicator.Loaded() {
+		return math.MaxInt64
+	}
+	return d.upstreamReplicator.Age(time.Now())
+}
 
 // Run serves until ctx ends, and then completes the requests in flight within the
 // grace period.
@@ -310,7 +317,7 @@
 	tasks.Go(func() error { d.upstreamReplicator.Run(background); return nil })
 	tasks.Go(func() error { d.loadQuarantine(background); return nil })
 	tasks.Go(func() error { d.keepSoftware(background); return nil })
-	tasks.Go(func() error { d.shares.Run(background); return nil })
+	tasks.Go(func() error { d.keepShares(background); return nil })
 	tasks.Go(func() error { d.maintain(background); return nil })
 	tasks.Go(func() error { return d.announce(background) })
 	tasks.Go(func() error { return d.serveTransfers(background) })
--- a/launcher/software.go
+++ b/launcher/software.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"laburnumline/apportioner"
 	"laburnumline/recorder"
 	"laburnumline/registrar"
 	"laburnumline/sleeper"
@@ -13,8 +14,14 @@
 
 const (
 	// softwareInterval is the time between two checks whether the software history has to be
-	// loaded or stored.
-	softwareInterval = 500 * time.Millisecond
+	// loaded or stored. A check without a change calls nothing. A new version begins streams only once it is
+	// stored, so the interval is short.
+	softwareInterval = 100 * time.Millisecond
+	// softwareRetryInterval is the time until the next check after a failed call.
+	softwareRetryInterval = 500 * time.Millisecond
+	// historyTimeout is how long a daemon that starts waits for the software history before it registers. A daemon
+	// that is registered while there is no history is taken for a sign that the history was lost.
+	historyTimeout = time.Second
 	// softwareTimeout limits each call to the store for it.
 	softwareTimeout = 2 * time.Second
 	// softwareWriters is the number of daemons that store a change. The second one finds it
@@ -25,7 +32,10 @@
 // keepSoftware loads the software history once, and then stores changes, until ctx ends. When the store was
 // restored from an older copy, it stores the history and the quarantines again.
 func (d *Daemon) keepSoftware(ctx context.Context) {
-	store := &registrar.SoftwareStore{Store: d.store, Registrar: d.registrar, Timeout: softwareTimeout}
+	store := &registrar.SoftwareStore{
+		Store: d.store, Registrar: d.registrar, Timeout: softwareTimeout, Era: d.store.Era, MemberPrefix: apportioner.RowPrefix,
+		ListRevision: d.upstreamReplicator.WatchedRevision, Recorded: d.pinner.Announce, Noticed: d.pinner.Announced,
+	}
 	loaded := false
 	era := d.store.Era()
 	for {
@@ -38,19 +48,39 @@
 		switch {
 		case !loaded:
 			err = store.Load(ctx)
-			loaded = err == nil
-		case d.upstreamReplicator.Loaded() && d.writesSoftware():
+			if loaded = err == nil; loaded {
+				close(d.softwareLoaded)
+			}
+		case !d.upstreamReplicator.Loaded():
+		case store.Created() || d.writesSoftware():
 			err = store.Save(ctx)
+		default:
+			err = store.Refresh(ctx)
 		}
+		interval := softwareInterval
 		if err != nil && ctx.Err() == nil {
 			d.config.Recorder.Event(recorder.SoftwareNotStored, "loaded", loaded, "err", err)
+			interval = softwareRetryInterval
 		}
-		if sleeper.Sleep(ctx, softwareInterval) != nil {
+		if sleeper.Sleep(ctx, interval) != nil {
 			return
 		}
 	}
 }
 
+// keepShares registers this daemon once the software history is loaded, or after historyTimeout, and keeps its shares until
+// ctx ends.
+func (d *Daemon) keepShares(ctx context.Context) {
+	timer := time.NewTimer(historyTimeout)
+	defer timer.Stop()
+	select {
+	case <-d.softwareLoaded:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	d.shares.Run(ctx)
+}
+
 // writesSoftware reports whether this daemon is one of those that store the software history.
 func (d *Daemon) writesSoftware() bool {
 	if !d.shares.Registered() {
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -29,6 +29,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"laburnumline/recorder"
+	"laburnumline/resolver"
 )
 
 // Stream identifies a stream: it is the digest of the caller's attempt that received the first
@@ -138,6 +139,26 @@
 	}
 }
 
+// Announce sends a notice to all other daemons that a software version of a service is stored. A notice
+// is a record of a stream that no attempt begins, so older daemons keep it without effect.
+func (p *Pinner) Announce(service resolver.ServiceName, software string) {
+	notice := &message{Records: []copied{{Stream: noticeOf(service, software), Software: software}}}
+	for _, peer := range p.config.Peers() {
+		p.send(peer, notice)
+	}
+}
+
+// Announced reports whether a notice about a software version of a service has arrived within Retention.
+func (p *Pinner) Announced(service resolver.ServiceName, software string) bool {
+	known, ok := p.known(noticeOf(service, software))
+	return ok && known == software
+}
+
+// noticeOf returns the stream of a notice. IDs of attempts are header values, which have no zero byte.
+func noticeOf(service resolver.ServiceName, software string) Stream {
+	return StreamOf("software\x00" + string(service) + "\x00" + software)
+}
+
 func (p *Pinner) store(s Stream, r record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -167,3 +167,18 @@
 		synctest.Wait()
 	})
 }
+
+// Notices that a version is stored reach the other daemons, and are not taken for another version's.
+func TestNoticesOfStoredVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, fleet := newNetwork(7)
+		fleet[0].Announce("drafts", "v2")
+		time.Sleep(20 * time.Millisecond)
+		for _, p := range fleet[1:] {
+			require.True(t, p.Announced("drafts", "v2"))
+			require.False(t, p.Announced("drafts", "v1"))
+			require.False(t, p.Announced("other", "v2"))
+		}
+		synctest.Wait()
+	})
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -112,6 +112,11 @@
 	return contractor.Revision(r.appliedRevision.Load())
 }
 
+// WatchedRevision returns the revision up to which all changes have been received.
+func (r *Replicator) WatchedRevision() contractor.Revision {
+	return contractor.Revision(r.watchedRevision.Load())
+}
+
 // NotifyRevision tells the Replicator that another daemon has seen a change of the
 // prefix at a revision. If the watch does not report the change, it is restarted,
 // because a store that compacts its history may leave a waiting watch without a
