forwarder: a version is recorded before its first stream

Report: after all daemons were killed at once, resumed streams were joined from two software versions.

Cause: a version could begin streams before any daemon had stored it. If its upstreams then disappeared and all daemons died, those that started again took the other version for the only one. Two more were found in the code: without any known version (list not read), and with several services on a route, an unknown stream went to any upstream.

Ruled out by the same test: an only version that is replaced, also during an outage of the store, and clocks that differ by 5 s and jump.

Change: new streams begin at versions that are known to be stored, unless none of these is left for the request. An unknown stream continues only if exactly one version is known over all services of its route.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,6 +97,8 @@
 	// SoftwareVersions returns the versions that may have begun streams which callers still
 	// resume. It reports false while there may be others.
 	SoftwareVersions(service resolver.ServiceName) (versions []string, complete bool)
+	// WithRecordedSoftware returns the upstreams of a list at which new streams may begin while they serve.
+	WithRecordedSoftware(service resolver.ServiceName, list []registrar.Upstream) []registrar.Upstream
 }
 
 // Streams records the software versions that began event streams, for all daemons.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -100,6 +100,10 @@
 	return []string{""}, true
 }
 
+func (s *fakeUpstreams) WithRecordedSoftware(_ resolver.ServiceName, list []registrar.Upstream) []registrar.Upstream {
+	return list
+}
+
 func (s *fakeUpstreams) Reserve(context.Context, contractor.Account, contractor.Tokens) (*apportioner.Reservation, error) {
 	if s.reserveRefusal != nil {
 		return nil, s.reserveRefusal
--- a/forwarder/software.go
+++ b/forwarder/software.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"laburnumline/pinner"
@@ -21,23 +22,37 @@
 	if x.route.Repeatability != resolver.Stream || r.ResumeAfter == "" {
 		return nil
 	}
-	versions, complete := x.forwarder.config.Upstreams.SoftwareVersions(x.service.Name)
+	versions, complete := x.softwareVersions()
 	several := !complete || len(versions) > 1
 	if r.Resumes != "" {
 		if x.software, x.softwareKnown = x.forwarder.config.Streams.Lookup(ctx, pinner.StreamOf(r.Resumes), several); x.softwareKnown {
 			return nil
 		}
 	}
-	if several {
+	if several || len(versions) == 0 {
 		return refuser.New(refuser.SoftwareUnknown, "resume").WithRetryAfter(softwareRetryAfter).
 			WithDetail("the upstream version that began stream %q is not known, versions %q may have, list complete: %t", r.Resumes, versions, complete)
 	}
-	if len(versions) == 1 {
-		x.software, x.softwareKnown = versions[0], true
-	}
+	x.software, x.softwareKnown = versions[0], true
 	return nil
 }
 
+// softwareVersions returns the software versions that may have begun a stream of the route, which may have been at
+// any service of its traffic split.
+func (x *exchange) softwareVersions() (versions []string, complete bool) {
+	upstreams := x.forwarder.config.Upstreams
+	versions, complete = upstreams.SoftwareVersions(x.service.Name)
+	for _, other := range x.route.TrafficSplit {
+		if other.Weight <= 0 || other.Service == x.service.Name {
+			continue
+		}
+		more, known := upstreams.SoftwareVersions(other.Service)
+		versions, complete = append(versions, more...), complete && known
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions), complete
+}
+
 // pinSoftware keeps the stream at the software version of its first event, here and at other
 // daemons.
 func (x *exchange) pinSoftware() {
@@ -54,14 +69,18 @@
 			return
 		}
 	}
-	versions, complete := x.forwarder.config.Upstreams.SoftwareVersions(x.service.Name)
+	versions, complete := x.softwareVersions()
 	x.forwarder.config.Streams.Pin(pinner.StreamOf(first), x.software, !complete || len(versions) > 1)
 }
 
-// candidates returns the upstreams that may run the request: those of its service, and for a
-// stream that has begun those of its software version.
+// candidates returns the upstreams that may run the request: those of its service, for a
+// stream that has begun those of its software version, and for a new one those whose version is stored, unless
+// all of these have failed it.
 func (x *exchange) candidates() []registrar.Upstream {
 	all := x.forwarder.config.Upstreams.Of(x.service.Name)
+	if !x.softwareKnown && x.route.Repeatability == resolver.Stream {
+		return x.recordedCandidates(all)
+	}
 	if !x.softwareKnown {
 		return all
 	}
@@ -73,3 +92,16 @@
 	}
 	return same
 }
+
+func (x *exchange) recordedCandidates(all []registrar.Upstream) []registrar.Upstream {
+	recorded := x.forwarder.config.Upstreams.WithRecordedSoftware(x.service.Name, all)
+	if len(recorded) == len(all) {
+		return all
+	}
+	if !slices.ContainsFunc(recorded, func(u registrar.Upstream) bool { return !slices.Contains(x.tried, u.Name) }) {
+		x.forwarder.config.Recorder.Count("forwarder.software_unrecorded", 1)
+		return all
+	}
+	x.forwarder.config.Recorder.Count("forwarder.software_avoided", 1)
+	return recorded
+}
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -20,12 +20,15 @@
 
 	"laburnumline/balancer"
 	"laburnumline/connector"
+	"laburnumline/emulator"
 	"laburnumline/framer"
 	"laburnumline/persister"
 	"laburnumline/pinner"
 	"laburnumline/quarantiner"
 	"laburnumline/registrar"
+	"laburnumline/resolver"
 	"laburnumline/retrier"
+	"laburnumline/sleeper"
 	"laburnumline/throttler"
 )
 
@@ -37,6 +40,8 @@
 	stableTime = 3 * time.Second
 	// listInterval is the time between two updates of the list of upstreams.
 	listInterval = 200 * time.Millisecond
+	// keepInterval is the time between two checks whether the software history has to be stored.
+	keepInterval = 500 * time.Millisecond
 	// callerTries is how often a caller sends a request, or resumes its stream.
 	callerTries = 4
 )
@@ -59,6 +64,17 @@
 	messageDelay time.Duration
 	duration     time.Duration
 	allComplete  bool // every stream has to be completed
+	survivors    bool // enough streams have to be continued at any daemon
+	// steps are what else happens, in order of time.
+	steps []versionStep
+	// clock returns what the clock of the i-th daemon is ahead of the time. Nil means zero.
+	clock func(i int, age time.Duration) time.Duration
+}
+
+// versionStep happens at a time after the start.
+type versionStep struct {
+	at time.Duration
+	do func(f *versionFleet)
 }
 
 // versionFleet is a fleet of forwarders whose upstreams and daemons crash.
@@ -70,7 +86,7 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	daemons   []*versionDaemon
-	stored    registrar.SoftwareHistory // what the daemons have stored
+	store     *emulator.Store // holds the software history
 	members   []netip.AddrPort
 	others    [][]netip.AddrPort               // by daemon, the members without it
 	crashed   map[netip.AddrPort]chan struct{} // closed when the upstream crashes
@@ -81,6 +97,9 @@
 	torn               int // streams with a missing or repeated event
 	complete           int
 	resumes, continued int // attempts to resume a stream whose version has two upstreams
+	// resumedStreams are the streams with such an attempt, also at daemons that have started less than stableTime
+	// ago, continuedStreams those of them that went on.
+	resumedStreams, continuedStreams int
 }
 
 // versionDaemon is one start of a daemon.
@@ -99,6 +118,7 @@
 func newVersionFleet(t *testing.T, s versionScenario, seed uint64) *versionFleet {
 	f := &versionFleet{
 		fakeUpstreams: newFakeUpstreams(t), scenario: s, start: time.Now(), random: rand.New(rand.NewPCG(seed, 9)),
+		store:   emulator.NewStore(emulator.StoreConfig{}),
 		crashed: make(map[netip.AddrPort]chan struct{}), downUntil: make(map[netip.AddrPort]time.Time),
 		daemons: make([]*versionDaemon, s.daemons),
 	}
@@ -130,7 +150,10 @@
 		attempts = 1
 	}
 	d := &versionDaemon{startedAt: time.Now(), ended: ctx, end: end}
-	d.registrar = registrar.New(registrar.Config{Decode: func(key string, _ []byte) (registrar.Upstream, error) { return f.decode(key), nil }})
+	d.registrar = registrar.New(registrar.Config{
+		Decode: func(key string, _ []byte) (registrar.Upstream, error) { return f.decode(key), nil },
+		Now:    func() time.Time { return f.clockOf(i) },
+	})
 	d.pinner = pinner.New(pinner.Config{
 		Self: f.members[i], Peers: func() []netip.AddrPort { return f.others[i] },
 		Send: func(to netip.AddrPort, datagram []byte) { f.deliver(d, f.members[i], to, datagram) },
@@ -142,8 +165,50 @@
 		Retries: retrier.New(retrier.Config{Attempts: attempts, TargetRatio: 10, AccountRatio: 10, Burst: 100}), Random: func() float64 { return 0 },
 		SetMetadata: func(h http.Header, m Metadata) { h.Set("Last", m.ResumeAfter); h.Set("Upstream", string(m.Upstream)) },
 	})
+	go f.keepSoftware(i, d, time.Duration(f.random.Int64N(int64(keepInterval))))
 	d.update(f.entries())
-	d.registrar.MergeSoftware(f.stored)
+}
+
+// clockOf returns the clock of a daemon, without a monotonic reading: another daemon compares its times.
+func (f *versionFleet) clockOf(i int) time.Time {
+	now := time.Now()
+	if f.scenario.clock != nil {
+		now = now.Add(f.scenario.clock(i, now.Sub(f.start)))
+	}
+	return now.Round(0)
+}
+
+// keepSoftware exchanges the software history with the store until the daemon ends, as launcher does.
+func (f *versionFleet) keepSoftware(i int, d *versionDaemon, phase time.Duration) {
+	store := &registrar.SoftwareStore{Store: f.store, Registrar: d.registrar, Timeout: time.Second, Era: f.store.Era, MemberPrefix: "member/"}
+	loaded := false
+	for d.ended.Err() == nil {
+		switch {
+		case !loaded:
+			if loaded = store.Load(d.ended) == nil; loaded {
+				_, _ = f.store.Commit(d.ended, persister.Txn{Puts: []persister.Put{{Key: fmt.Sprint("member/", i)}}}) // fails only with the daemon
+			}
+		case f.writes(i) || store.Created():
+			_ = store.Save(d.ended) // the next call tries again
+		default:
+			_ = store.Refresh(d.ended)
+		}
+		_ = sleeper.Sleep(d.ended, keepInterval-phase) // the condition of the loop sees the end
+		phase = 0
+	}
+}
+
+// writes reports whether a daemon is one of the two that store changes.
+func (f *versionFleet) writes(i int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := 0
+	for _, d := range f.daemons[:i] {
+		if d.ended.Err() == nil {
+			before++
+		}
+	}
+	return before < 2
 }
 
 // update gives a daemon the current list of upstreams, as its watch of the store does.
@@ -256,6 +321,9 @@
 	events   []string // "ID VERSION"
 	resumes  string   // the attempt that received the first event
 	complete bool
+	// resumed and continued are true after an attempt to resume the stream while two upstreams of its version
+	// served, and after one that went on.
+	resumed, continued bool
 }
 
 // run sends a request until its stream is complete.
@@ -309,10 +377,14 @@
 	case try == 0:
 		f.notBegun++
 	}
-	if counts && d.ended.Err() == nil && (d.startedAt.Equal(f.start) || time.Since(d.startedAt) >= stableTime) {
-		f.resumes++
-		if len(s.events) > before {
-			f.continued++
+	if counts && d.ended.Err() == nil {
+		continued := len(s.events) > before
+		s.resumed, s.continued = true, s.continued || continued
+		if d.startedAt.Equal(f.start) || time.Since(d.startedAt) >= stableTime {
+			f.resumes++
+			if continued {
+				f.continued++
+			}
 		}
 	}
 	return w.Code
@@ -349,6 +421,12 @@
 
 // judge checks what a caller has received.
 func (f *versionFleet) judge(s *stream) {
+	if s.resumed {
+		f.resumedStreams++
+	}
+	if s.continued {
+		f.continuedStreams++
+	}
 	var versions []string
 	for i, event := range s.events {
 		id, software, _ := strings.Cut(event, " ")
@@ -383,10 +461,10 @@
 }
 
 // crashDaemons ends some daemons at one moment and starts them again later.
-func (f *versionFleet) crashDaemons() {
+func (f *versionFleet) crashDaemons(count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, i := range f.random.Perm(len(f.daemons))[:f.scenario.daemonCrashes] {
+	for _, i := range f.random.Perm(len(f.daemons))[:count] {
 		f.daemons[i].end()
 		f.daemons[i].downUntil = time.Now().Add(restartTime)
 		time.AfterFunc(restartTime, func() {
@@ -402,7 +480,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entries := f.entries()
-	f.stored = f.daemons[0].registrar.SoftwareHistory()
 	for _, d := range f.daemons {
 		time.AfterFunc(time.Duration(f.random.Int64N(int64(listInterval))), func() { d.update(entries) })
 	}
@@ -411,6 +488,9 @@
 func (f *versionFleet) play() {
 	s := f.scenario
 	nextCrash, nextRestart, nextUpdate := s.crashInterval, s.restartInterval, time.Duration(0)
+	for _, step := range s.steps {
+		time.AfterFunc(step.at, func() { step.do(f) })
+	}
 	for age := time.Duration(0); age < s.duration; age = time.Since(f.start) {
 		go f.run()
 		time.Sleep(time.Second / time.Duration(s.rate))
@@ -424,7 +504,7 @@
 		}
 		if nextRestart > 0 && age >= nextRestart {
 			nextRestart += s.restartInterval
-			f.crashDaemons()
+			f.crashDaemons(s.daemonCrashes)
 		}
 	}
 	time.Sleep(30 * time.Second)
@@ -498,3 +578,156 @@
 		})
 	}
 }
+
+// killAll ends all daemons at one moment.
+func killAll(at time.Duration) versionStep {
+	return versionStep{at, func(f *versionFleet) { f.crashDaemons(len(f.daemons)) }}
+}
+
+// killHalf ends half of the daemons at one moment.
+func killHalf(at time.Duration) versionStep {
+	return versionStep{at, func(f *versionFleet) { f.crashDaemons(len(f.daemons) / 2) }}
+}
+
+// outage makes all calls to the store fail for a time.
+func outage(from, to time.Duration) []versionStep {
+	return []versionStep{
+		{from, func(f *versionFleet) { f.store.SetFaults(emulator.StoreFaults{Outage: true}) }},
+		{to, func(f *versionFleet) { f.store.SetFaults(emulator.StoreFaults{}) }},
+	}
+}
+
+// All daemons die at once, and with them what they know about streams. Whatever was lost in that moment, and
+// whichever versions serve afterwards, a stream must not be continued at another version than its own.
+func TestNoStreamIsJoinedAfterAllDaemonsDied(t *testing.T) {
+	const second = time.Second
+	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	// Every upstream has the version v1 and then v2.
+	replaced := func(change time.Duration) func(int, time.Duration) string {
+		return func(_ int, age time.Duration) string {
+			if age < change {
+				return "v1"
+			}
+			return "v2"
+		}
+	}
+	// A third of the upstreams have the version v2 for a time.
+	brief := func(from, to time.Duration) func(int, time.Duration) string {
+		return func(i int, age time.Duration) string {
+			if i%3 == 0 && age >= from && age < to {
+				return "v2"
+			}
+			return "v1"
+		}
+	}
+	twoVersions := func(i int, _ time.Duration) string { return []string{"v1", "v2"}[i%2] }
+	clearStore := versionStep{at(5050), func(f *versionFleet) {
+		_, err := f.store.Commit(context.Background(), persister.Txn{Deletes: []string{"software/history"}})
+		if err != nil {
+			panic(err)
+		}
+	}}
+	tests := []versionScenario{
+		{name: "the only version is replaced", softwareOf: replaced(at(5100)), steps: []versionStep{killAll(5 * second)}},
+		{name: "the history is lost", softwareOf: replaced(at(5100)), steps: []versionStep{killAll(5 * second), clearStore}},
+		{name: "a version comes and goes within a second", softwareOf: brief(at(5000), at(5500)), steps: []versionStep{killAll(at(5500))}},
+		{name: "a version comes and goes while the store is unavailable", softwareOf: brief(at(5000), at(5600)), steps: append(outage(at(4900), at(5650)), killAll(at(5600)))},
+		{name: "the first streams of a service", softwareOf: func(_ int, age time.Duration) string {
+			switch {
+			case age < at(3000):
+				return ""
+			case age < at(3600):
+				return "v1"
+			}
+			return "v2"
+		}, steps: append(outage(at(2900), at(3650)), killAll(at(3600)))},
+		{name: "the store is restored from an older copy", softwareOf: brief(at(5200), at(6600)), steps: []versionStep{
+			killAll(at(6500)), {at(5000), func(f *versionFleet) {
+				copied := f.store.Copy()
+				time.AfterFunc(at(1600), func() { f.store.Restore(copied) })
+			}},
+		}},
+		{name: "clocks jump", softwareOf: brief(at(3000), at(5000)), steps: []versionStep{killAll(at(5500)), killAll(at(7000))}, clock: func(i int, age time.Duration) time.Duration {
+			return time.Duration((i*7+int(age/(2*second))*5)%11-5) * second
+		}},
+		{name: "the only version is replaced during an outage of the store", softwareOf: replaced(at(5000)), steps: append(outage(at(4900), at(5750)), killAll(at(5600)))},
+		{name: "one version", softwareOf: replaced(time.Hour), steps: append(outage(1*second, 3*second), killAll(4*second), killAll(6*second)), allComplete: true},
+		{name: "two versions serve", softwareOf: twoVersions, steps: []versionStep{killAll(3 * second), killAll(6 * second)}},
+		{name: "half of the daemons survive", softwareOf: twoVersions, steps: []versionStep{killHalf(3 * second), killHalf(6 * second)}, survivors: true},
+	}
+	for _, tt := range tests {
+		tt.upstreams, tt.rate, tt.callersOnly, tt.messageDelay, tt.duration = 18, 100, true, 5*time.Millisecond, 8*second
+		for _, daemons := range []int{7, 65} {
+			tt := tt
+			tt.daemons = daemons
+			t.Run(fmt.Sprint(tt.name, ", ", tt.daemons), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(2) {
+					if seed > 0 && tt.daemons > 7 {
+						break // a large fleet takes several times as long
+					}
+					synctest.Test(t, func(t *testing.T) {
+						f := newVersionFleet(t, tt, seed)
+						f.play()
+						t.Logf("seed %d: %d joined, %d torn, %d complete, begun %d of %d, %d of %d streams continued", seed,
+							f.joined, f.torn, f.complete, f.begun, f.begun+f.notBegun, f.continuedStreams, f.resumedStreams)
+						require.Zero(t, f.joined)
+						require.Zero(t, f.torn)
+						if tt.allComplete {
+							require.Equal(t, tt.rate*int(tt.duration/second), f.complete, "nothing is refused")
+						}
+						if tt.survivors {
+							require.GreaterOrEqual(t, f.resumedStreams, 12)
+							require.GreaterOrEqual(t, float64(f.continuedStreams)/float64(f.resumedStreams), float64(f.begun)/float64(f.begun+f.notBegun)/2)
+						}
+					})
+				}
+			})
+		}
+	}
+}
+
+// splitVersions has the versions of two services of one route.
+type splitVersions struct {
+	*fakeUpstreams
+	versions map[resolver.ServiceName][]string
+	complete bool
+}
+
+func (s *splitVersions) SoftwareVersions(service resolver.ServiceName) ([]string, bool) {
+	return slices.Clone(s.versions[service]), s.complete
+}
+
+// A stream of which nobody knows the version may have begun at any service of its route, and a caller need not name
+// the attempt. A list that has not been read has no version.
+func TestUnknownStreamContinuesOnlyAtTheSingleVersion(t *testing.T) {
+	drafts, other := resolver.ServiceName("drafts"), resolver.ServiceName("other")
+	tests := []struct {
+		name     string
+		versions map[resolver.ServiceName][]string
+		complete bool
+		refused  bool
+	}{
+		{name: "one version", versions: map[resolver.ServiceName][]string{drafts: {"v1"}}, complete: true},
+		{name: "one version at both services", versions: map[resolver.ServiceName][]string{drafts: {"v1"}, other: {"v1"}}, complete: true},
+		{name: "another version at another service", versions: map[resolver.ServiceName][]string{drafts: {"v1"}, other: {"v2"}}, complete: true, refused: true},
+		{name: "list not read", versions: nil, complete: true, refused: true},
+		{name: "incomplete", versions: map[resolver.ServiceName][]string{drafts: {"v1"}}, refused: true},
+	}
+	for _, tt := range tests {
+		for _, resumes := range []string{"", "unknown"} {
+			upstreams := &splitVersions{fakeUpstreams: newFakeUpstreams(t), versions: tt.versions, complete: tt.complete}
+			route := &resolver.Route{Repeatability: resolver.Stream, TrafficSplit: []resolver.WeightedService{{Service: drafts, Weight: 1}, {Service: other, Weight: 1}}}
+			p := pinner.New(pinner.Config{Peers: func() []netip.AddrPort { return nil }})
+			x := &exchange{
+				forwarder: New(Config{Upstreams: upstreams, Streams: p}), route: route, service: &resolver.Service{Name: drafts},
+				request: &Request{ResumeAfter: "3", Resumes: resumes},
+			}
+			refusal := x.findSoftware(t.Context())
+			require.Equal(t, tt.refused, refusal != nil, tt.name)
+			if refusal == nil {
+				require.Equal(t, "v1", x.software)
+			}
+		}
+	}
+}
