registrar: event when a software version is known to be stored

The state decides where new streams begin, so a change of it has an event, 2421. A test keeps the stored history readable for older daemons and theirs for newer ones.

--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -72,6 +72,9 @@
 	// begun streams of a service: the stored history does not contain the service, is older than a
 	// restore of the store, was lost, or cannot be read.
 	SoftwareUncertain Code = 2420
+	// SoftwareRecorded is logged when a listed software version is known to be stored, so that
+	// streams may begin there.
+	SoftwareRecorded Code = 2421
 )
 
 var _ = declare(eventNames{
@@ -104,4 +107,5 @@
 	SoftwareNotStored:   "software_not_stored",
 	DelegationFailed:    "delegation_failed",
 	SoftwareUncertain:   "software_uncertain",
+	SoftwareRecorded:    "software_recorded",
 })
--- a/registrar/software.go
+++ b/registrar/software.go
@@ -251,6 +251,13 @@
 			r.coverSoftware(listed, service, nowMs)
 		}
 	}
+	for service, versions := range r.software.Load().unrecorded {
+		for software := range versions {
+			if state.recorded.records(service, software, nowMs) {
+				r.config.Recorder.Event(recorder.SoftwareRecorded, "service", service, "software", software)
+			}
+		}
+	}
 	r.software.Store(&softwareView{history: listed, complete: complete, unrecorded: unrecorded, recorded: state.recorded})
 }
 
--- a/registrar/software_test.go
+++ b/registrar/software_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"laburnumline/contractor"
@@ -353,3 +354,31 @@
 	}
 	require.LessOrEqual(t, store.Counts().Reads-before, int64(3))
 }
+
+// During an upgrade, older daemons read a history with an era and unknown versions, and newer ones read one without. Older
+// daemons know versions only; they must not take the era for one that counts.
+func TestHistoryIsReadableByOlderDaemons(t *testing.T) {
+	store := emulator.NewStore(emulator.StoreConfig{})
+	now := time.Unix(1000, 0)
+	r := newSoftwareRegistrar(&now)
+	r.Apply(change("a", "v1"))
+	s := startedStore(t, store, r, true)
+	require.NoError(t, s.Load(t.Context()))
+	require.NoError(t, s.Save(t.Context()))
+	var versions map[string]map[string]int64
+	require.NoError(t, cbor.Unmarshal(store.Peek(softwareKey).Value, &versions))
+	require.Zero(t, versions["drafts"]["v1"])
+	require.Len(t, versions["drafts"], 2, "a second version, so that unknown streams are refused")
+	require.Less(t, versions[""]["era"], now.Add(-SoftwareRetention).UnixMilli(), "gone for long")
+
+	value, err := cbor.Marshal(map[string]map[string]int64{"drafts": {"v1": 0, "v0": now.UnixMilli()}})
+	require.NoError(t, err)
+	_, err = store.Commit(t.Context(), persister.Txn{Puts: []persister.Put{{Key: softwareKey, Value: value}}})
+	require.NoError(t, err)
+	started := newSoftwareRegistrar(&now)
+	started.Apply(change("a", "v1"))
+	require.NoError(t, startedStore(t, store, started, true).Load(t.Context()))
+	known, complete := started.SoftwareVersions("drafts")
+	require.True(t, complete)
+	require.Equal(t, []string{"v0", "v1"}, known)
+}
