--- a/registrar/software.go
+++ b/registrar/software.go
@@ -227,13 +227,15 @@
 	unrecorded := make(SoftwareHistory)
 	nowMs := r.config.Now().UnixMilli()
 	for _, e := range r.entries {
-		if !e.valid {
-			continue
+		if e.valid {
+			listed.add(e.upstream.Service, e.upstream.Software, 0)
 		}
-		service := e.upstream.Service
-		listed.add(service, e.upstream.Software, 0)
-		if !state.recorded.records(service, e.upstream.Software, nowMs) {
-			unrecorded.add(service, e.upstream.Software, 0)
+	}
+	for service, versions := range listed {
+		for software := range versions {
+			if !state.recorded.records(service, software, nowMs) {
+				unrecorded.add(service, software, 0)
+			}
 		}
 	}
 	for service, versions := range history {
