--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -74,6 +74,13 @@
 	// DelegationFailed is logged when a request cannot be sent to another daemon while this one
 	// reaches no upstream of its service, or when its response is lost.
 	DelegationFailed Code = 2409
+	// SoftwareUncertain is logged when software versions that this daemon does not know may have
+	// begun streams of a service: the stored history does not contain the service, is older than a
+	// restore of the store, was lost, or cannot be read.
+	SoftwareUncertain Code = 2420
+	// SoftwareRecorded is logged when a listed software version is known to be stored, so that
+	// streams may begin there.
+	SoftwareRecorded Code = 2421
 	// UpstreamCold is logged when an upstream begins or ceases to count as cold.
 	UpstreamCold Code = 2501
 	// WarmupSkipped is logged when the warm-up in an upstream's entry cannot be read. The last one
@@ -112,6 +119,8 @@
 	StreamMessageFailed: "stream_message_failed",
 	SoftwareNotStored:   "software_not_stored",
 	DelegationFailed:    "delegation_failed",
+	SoftwareUncertain:   "software_uncertain",
+	SoftwareRecorded:    "software_recorded",
 	UpstreamCold:        "upstream_cold",
 	WarmupSkipped:       "warmup_skipped",
 })
