--- a/apportioner/replay_test.go
+++ b/apportioner/replay_test.go
@@ -115,16 +115,26 @@
 	return nil
 }
 
-// replayStore is one daemon's access to the store: commits go through the relay of the fleet.
+// replayStore is one daemon's access to the store: commits go through the relay of the fleet,
+// unless the load has none.
 type replayStore struct {
 	persister.Store
 	replay *replay
+	// committing is called before each commit. Nil means nothing.
+	committing func(txn persister.Txn)
 }
 
 func (s *replayStore) CommitMerged(ctx context.Context, txn persister.Txn) (contractor.Revision, []persister.Entry, error) {
 	if err := s.replay.reach(ctx); err != nil {
 		return 0, nil, err
 	}
+	if s.committing != nil {
+		s.committing(txn)
+	}
+	if s.replay.load.withoutRelay {
+		revision, err := s.Store.Commit(ctx, txn)
+		return revision, nil, err
+	}
 	return s.replay.relay.Load().Commit(ctx, txn)
 }
 
@@ -144,6 +154,9 @@
 	if err := s.replay.reach(ctx); err != nil {
 		return 0, err
 	}
+	if s.replay.load.withoutRelay {
+		return s.Store.GrantLease(ctx, ttl)
+	}
 	return s.replay.relay.Load().GrantLease(ctx, ttl)
 }
 
@@ -167,6 +180,8 @@
 	cuts []span
 	// killAt is when all VMs lose power, or zero.
 	killAt time.Duration
+	// withoutRelay makes each daemon call the store itself, as in a small fleet.
+	withoutRelay bool
 }
 
 type span struct{ from, to time.Duration }
@@ -206,6 +221,9 @@
 	own     []int     // account of each client
 	started time.Time
 	boots   int
+	// observeStore returns the function that a daemon's replayStore calls before each commit. It
+	// may be nil.
+	observeStore func(d *replayDaemon) func(txn persister.Txn)
 
 	mu     sync.Mutex
 	spent  map[contractor.Account]contractor.Tokens
@@ -293,8 +311,12 @@
 	name := fmt.Sprintf("edge-%d", d.index)
 	boot := time.Duration(p.boots*7919%101) * time.Minute
 	var t *transferrer.Transferrer
+	var committing func(persister.Txn)
+	if p.observeStore != nil {
+		committing = p.observeStore(d)
+	}
 	a := New(Config{
-		Store: &replayStore{Store: p.store, replay: p}, Name: name, Address: addressOf(d.index), LinkBandwidth: 1e6,
+		Store: &replayStore{Store: p.store, replay: p, committing: committing}, Name: name, Address: addressOf(d.index), LinkBandwidth: 1e6,
 		Incarnation: contractor.Incarnation(d.starts*1000 + uint64(d.index)),
 		RequestTransfer: func(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens {
 			return t.RequestTransfer(ctx, account, tokens)
