apportioner: a row tells that its daemon has no lease yet

Cause: a daemon that starts takes over its row at once and gets its leases a few rounds later. When it loses power in between, no key is in the store, and its next incarnation counts the whole share as spent.

Change: such a row has `confined`. An incarnation stays in the first stage until a row without it is acknowledged, so the next incarnation knows the stage whatever the time and the clocks. A row from before a restore still counts as spent completely.

Ruled out: leases before the take-over (the daemon does not know its relay yet, and each daemon of a large fleet would call the store itself).

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -181,8 +181,11 @@
 }
 
 // stage returns the current stage: the first one whose lease may still last or that had no
-// lease yet.
+// lease yet. An incarnation whose row says that it is confined stays in the first stage.
 func (a *Apportioner) stage() int {
+	if a.state.row.Incarnation != a.config.Incarnation || a.state.row.Confined {
+		return stageOpen
+	}
 	now := a.config.Now()
 	for i := range stages {
 		if a.state.leasedAt[i].IsZero() || now.Before(a.state.leaseExpiry[i]) {
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -57,6 +57,9 @@
 	// the shortest time from then until the incarnation leaves each stage.
 	WrittenAt timekeeper.Reading         `cbor:"written"`
 	MinStay   [len(stages)]time.Duration `cbor:"stay"`
+	// Confined states that the incarnation has no lease yet and stays in the first stage until a
+	// row without this statement is acknowledged. Rows of daemons of earlier versions lack it.
+	Confined bool `cbor:"confined,omitempty"`
 }
 
 // holding is one account in a row. Settled and Demand are included in the pool's sums; Spent
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -48,6 +48,7 @@
 		p.row.LeaseExpiryMillis[i] = until.UnixMilli()
 	}
 	p.row.WrittenAt, p.row.MinStay = reading, a.minStays(now)
+	p.row.Confined = state.leasedAt[stageOpen].IsZero()
 	p.txn.Puts = append(p.txn.Puts, state.pendingLeaseKeys...)
 	if err := p.encode(a.config.Name, state); err != nil {
 		return nil, err
--- a/apportioner/restart_test.go
+++ b/apportioner/restart_test.go
@@ -1,6 +1,7 @@
 package apportioner
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,3 +172,67 @@
 		require.NoError(t, p.txn.Validate())
 	})
 }
+
+// Guards against writing off the whole share of an incarnation that lost power before the keys of
+// its first leases were in the store: no key shows then that it was in the first stage.
+func TestRestartBeforeFirstLeaseKeepsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1_000_000)
+		time.Sleep(10 * time.Second)
+		d := f.daemons[0]
+		before := d.held()
+		d.stop()
+		d.reboots++
+		// An incarnation that does not know the prepaid limits takes over its row and gets no leases.
+		second := New(Config{Store: d.link, Name: d.name, Incarnation: 77, BootClock: f.bootClock(d)})
+		ctx, cancel := context.WithCancel(t.Context())
+		go second.Run(ctx)
+		time.Sleep(time.Second)
+		require.True(t, second.Joined())
+		cancel()
+		d.reboots++
+		time.Sleep(30 * time.Second)
+		f.launch(d)
+		defer f.stopAll()
+		time.Sleep(80 * time.Millisecond)
+		require.Greater(t, float64(d.held()), 0.7*float64(before))
+	})
+}
+
+// An incarnation whose row says that it is confined must not unlock later stages, whatever becomes of
+// its writes: the next incarnation counts on that. The row without that statement takes effect at
+// once, late, or never, and its response is lost.
+func TestConfinedIncarnationStaysInFirstStage(t *testing.T) {
+	for _, faults := range []emulator.StoreFaults{{LoseResponses: 1}, {LateCommits: 1, LateCommitDelay: 4 * time.Second}, {LateCommits: 1, LateCommitDelay: 40 * time.Second}, {LoseRequests: 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(1, 1_000_000)
+			time.Sleep(10 * time.Second)
+			d := f.daemons[0]
+			d.stop()
+			d.reboots++
+			f.launch(d)
+			for !d.Registered() {
+				time.Sleep(100 * time.Microsecond)
+			}
+			f.store.SetFaults(faults)
+			time.Sleep(time.Second)
+			d.link.partitioned.Store(true)
+			for range 200 {
+				time.Sleep(100 * time.Millisecond)
+				f.drain(d, 1000)
+			}
+			d.stop()
+			d.reboots++
+			f.store.SetFaults(emulator.StoreFaults{})
+			d.link.partitioned.Store(false)
+			f.launch(d)
+			defer f.stopAll()
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				f.drain(d, 1000)
+			}
+			require.LessOrEqual(t, f.spent, f.prepaid, "%+v", faults)
+			require.Positive(t, f.spent)
+		})
+	}
+}
--- a/apportioner/stage.go
+++ b/apportioner/stage.go
@@ -57,6 +57,9 @@
 	}
 	byClock, known := a.latestStage(old)
 	a.state.predecessorStage = min(a.state.predecessorStage, byClock)
+	if old.Confined {
+		a.state.predecessorStage, known = stageOpen, true
+	}
 	latest := a.state.predecessorStage
 	a.mu.Unlock()
 	if known || old.Incarnation == 0 || old.Incarnation == a.config.Incarnation {
