apportioner: a restarted daemon keeps its open part small

Change: for 5 s after it has taken over a row, a daemon of a large fleet opens only what the demand since its start needs. While the store is in reach, a request beyond that waits for a round. A partition that begins within these 5 s finds the smaller part until the second stage.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -117,6 +117,10 @@
 	// demandAveragingTime is the time constant of the demand average. It covers several
 	// requests of a small account.
 	demandAveragingTime = 8 * time.Second
+	// restartTime is how long a daemon that has taken over a row keeps its open part small. Losses of
+	// power follow each other within seconds, and each takes what is open off the balances. In
+	// contact with the store, a small open part costs a request the wait for a round.
+	restartTime = 5 * time.Second
 	// settleTime is how long after a restore of the store what may be held by daemons that nobody
 	// knows is withheld. Daemons in contact confirm their rows in their next round.
 	settleTime = 5 * time.Second
@@ -276,6 +280,8 @@
 	// may have spent its whole grant.
 	predecessor      contractor.Incarnation
 	predecessorStage int
+	// restartedUntil is when the open part of an incarnation with a predecessor reaches its full size.
+	restartedUntil time.Time
 	// rebalancedAt is when the daemon last rebalanced, and rebalanceAfter when it tries again
 	// after conflicts with other daemons.
 	rebalancedAt, rebalanceAfter time.Time
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -180,6 +180,8 @@
 	// registering is true if this is the daemon's first round in a fleet that has no demand yet.
 	registering bool
 	leaving     bool
+	// restarted is true if the daemon has taken over the row of an earlier incarnation recently.
+	restarted bool
 }
 
 // targetGrant returns the new value of Granted in the daemon's row. The sums already include
@@ -231,7 +233,7 @@
 // daemon is killed.
 func (q *accountPlan) openPart(held float64) float64 {
 	demand := min(q.demandRate*q.openTime.Seconds(), held*(openFraction+fullBalanceOpenFraction*q.unspentFraction*q.unspentFraction))
-	if q.members <= smallFleetSize {
+	if q.members <= smallFleetSize || q.restarted {
 		return demand
 	}
 	needed := max(float64(q.longRequest)*q.unspentFraction*q.unspentFraction, demandMargin*q.demandRate*q.openTime.Seconds())
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -64,6 +64,9 @@
 // write the pool, so that daemons that start at the same time do not conflict.
 func (a *Apportioner) planTakeOver(p *proposal) {
 	p.rebalances, p.joined = false, true
+	if p.row.Incarnation != 0 {
+		a.state.restartedUntil = a.config.Now().Add(a.scaleToFleet(restartTime))
+	}
 	stage := a.state.predecessorStage
 	if p.row.Era < a.state.storeEra {
 		stage = len(stages) // the row is that of a copy: what its daemon held later is not known
@@ -147,6 +150,7 @@
 			// Zero for an account that no longer has a limit, which returns its share.
 			prepaid: a.prepaid[name], members: a.plannedMemberCount(p), allocatedFraction: a.config.AllocatedFraction, leaving: a.state.leaving,
 			registering:     registering,
+			restarted:       now.Before(a.state.restartedUntil),
 			unspentFraction: a.unspentFraction(name), openTime: a.leaseTTL(stageOpen), longRequest: a.longRequestCost(),
 		}
 		q.holder = p.rebalances && a.isHolder(name, &p.pool)
