apportioner: later stages follow recent spending

Cause: the last stage unlocked at least half of what a daemon holds, whatever it spends. After a partition of 5.5 or 8 s the daemons of a fleet of 7 had spent an eighth to a fifth of what they held, and 70% was written off.

Change: the least part that the last stage unlocks is 0.2 of what is held; what the recent demand needs for 5 s, times 1.5, is unlocked as before where it is more.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -187,7 +187,7 @@
 	{name: "short", leaseTTL: 7 * time.Second, renewInterval: 2 * time.Second, demandCover: 4 * time.Second, minFraction: 0.15},
 	// Partitions last up to 9 s. A VM that loses power at the end of one is running again within
 	// about 4 s, and the last lease from before is up to 4 s old.
-	{name: "long", leaseTTL: 17 * time.Second, renewInterval: 4 * time.Second, demandCover: 5 * time.Second, minFraction: 0.5},
+	{name: "long", leaseTTL: 17 * time.Second, renewInterval: 4 * time.Second, demandCover: 5 * time.Second, minFraction: 0.2},
 }
 
 // stageOpen is the stage in which a daemon stays while rounds succeed.
--- a/apportioner/powerloss_test.go
+++ b/apportioner/powerloss_test.go
@@ -223,9 +223,9 @@
 		slow              bool // only with the flag
 	}{
 		{load: 0, seeds: []uint64{1, 2, 3}, minimum: 0.88, maxCalls: 8},
-		{load: 0, cut: 3 * time.Second, seeds: []uint64{4, 5, 6}, maxCalls: 9},
-		{load: 0, cut: 5500 * time.Millisecond, seeds: []uint64{7, 8, 9}, maxCalls: 9},
-		{load: 0, cut: 8 * time.Second, seeds: []uint64{10, 11, 12}, maxCalls: 9},
+		{load: 0, cut: 3 * time.Second, seeds: []uint64{4, 5, 6}, minimum: 0.72, maxCalls: 9},
+		{load: 0, cut: 5500 * time.Millisecond, seeds: []uint64{7, 8, 9}, minimum: 0.58, maxCalls: 9},
+		{load: 0, cut: 8 * time.Second, seeds: []uint64{10, 11, 12}, minimum: 0.65, maxCalls: 9},
 		{load: 1, seeds: []uint64{13, 14, 15}, minimum: 0.55, maxCalls: 0.6},
 		{load: 1, cut: 3 * time.Second, seeds: []uint64{16, 17}, maxCalls: 0.6, slow: true},
 		{load: 1, cut: 5500 * time.Millisecond, seeds: []uint64{18, 19}, maxCalls: 0.6, slow: true},
