forwarder: responses to slow callers occupy bounded memory

Each response that is not a stream was read completely before any of it was forwarded, and was held until its caller had read it: 200 callers that read nothing held 404 MB with responses of 2 MB.

Beyond 64 KB of each, responses now share a tenth of the daemon's memory, at most 24 MB. A daemon with an unknown memory limit buffers as before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -275,14 +275,18 @@
 	if x.responseStarted {
 		return failed
 	}
-	buffered, err := readResponse(response)
+	buffered, err := x.forwarder.readResponse(response)
 	if err != nil {
+		buffered.release()
 		failed.err = err
 		return failed
 	}
 	if response.Metadata.Signed {
+		x.serverErrorResponse.release()
 		x.serverErrorResponse = buffered
+		return failed
 	}
+	buffered.release()
 	return failed
 }
 
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -124,7 +124,12 @@
 
 // forwardWhole forwards a response that is not a stream, whatever its status.
 func (x *exchange) forwardWhole(response *connector.Response) *failure {
-	buffered, err := readResponse(response)
+	buffered, err := x.forwarder.readResponse(response)
+	defer buffered.release()
+	if errors.Is(err, errNoMemory) {
+		x.executions++
+		return x.forwardRest(buffered, response)
+	}
 	if err != nil {
 		x.executions++
 		return x.responseFailure(err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -167,6 +167,9 @@
 	// Reachability and Delegate may be nil, in which case the daemon sends all requests itself.
 	Reachability Reachability
 	Delegate     Delegate
+	// ResponseMemory limits the bytes of responses that are buffered beyond the first ones of each. Zero
+	// means no limit.
+	ResponseMemory int64
 	// Probe opens a connection to an upstream and closes it.
 	Probe func(ctx context.Context, address netip.AddrPort) error
 	// SetMetadata writes the metadata into the headers of a call.
@@ -195,6 +198,7 @@
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	config Config
+	memory memory
 	// Durations in nanoseconds: reserving is the time to reserve tokens, answering the
 	// time from the arrival of a request to the first part of its response, serving the
 	// time from its arrival to the end of its response.
@@ -204,6 +208,7 @@
 // New returns a forwarder.
 func New(c Config) *Forwarder {
 	return &Forwarder{
+		memory:    memory{limit: c.ResponseMemory},
 		config:    c,
 		reserving: c.Recorder.Histogram("request.reserving"),
 		answering: c.Recorder.Histogram("request.answering"),
@@ -216,6 +221,7 @@
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	x := &exchange{forwarder: f, request: r, writer: w, sends: r.Executions, executions: r.Executions}
 	defer x.endAdmission()
+	defer func() { x.serverErrorResponse.release() }()
 	if refusal := x.prepare(ctx); refusal != nil {
 		if refusal.Reason == refuser.Overloaded {
 			x.refuseOverloaded(refusal)
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -21,27 +20,6 @@
 
 var errResponseTooLong = fmt.Errorf("response exceeds %d bytes", maxResponseBytes)
 
-// bufferedResponse is a response that was read completely.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-func readResponse(response *connector.Response) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read response: %w", err)
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLong
-	}
-	if err := framer.Check(response.Framing, response.Header, body); err != nil {
-		return nil, fmt.Errorf("read response: %w", err)
-	}
-	return &bufferedResponse{status: response.Status, header: response.Header, body: body}, nil
-}
-
 // drain reads the rest of a response that is not forwarded, so that its connection can
 // be reused. The connection is closed if the rest exceeds streamBufferBytes.
 func drain(response *connector.Response) {
@@ -49,24 +27,21 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, streamBufferBytes))
 }
 
-func (b *bufferedResponse) write(w http.ResponseWriter) {
-	copyEndToEndHeaders(w.Header(), b.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
-	w.WriteHeader(b.status)
-	// An error means that the caller has disconnected.
-	_, _ = w.Write(b.body)
-}
-
 // forwardBuffered reads a response completely before it forwards any of it, so that an
-// incomplete one can still be retried or refused.
+// incomplete one can still be retried or refused. If there is no memory for it, only its beginning is read first.
 func (x *exchange) forwardBuffered(response *connector.Response) *failure {
-	buffered, err := readResponse(response)
-	if err != nil {
+	buffered, err := x.forwarder.readResponse(response)
+	unbuffered := errors.Is(err, errNoMemory)
+	if err != nil && !unbuffered {
 		return x.responseFailure(err)
 	}
+	defer buffered.release()
 	if response.Status < http.StatusMultipleChoices {
 		x.recordServed(time.Now())
 	}
+	if unbuffered {
+		return x.forwardRest(buffered, response)
+	}
 	x.startResponse()
 	buffered.write(x.writer)
 	return nil
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -235,8 +235,9 @@
 		Admission: d.admitter, Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
-		Retries:     retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
-		SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
+		Retries:        retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
+		ResponseMemory: min(s.MemoryLimit/responseMemoryDivisor, maxResponseMemory),
+		SetMetadata:    c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
 	})
 	return d
 }
@@ -291,6 +292,14 @@
 // dialFunc opens a connection, like net.Dialer.DialContext.
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
+const (
+	// responseMemoryDivisor determines the part of the daemon's memory for responses that are buffered because
+	// callers read slowly, besides the first 64 KB of each.
+	responseMemoryDivisor = 10
+	// maxResponseMemory keeps a daemon with 200 such callers below 70 MB on VMs with much memory as well.
+	maxResponseMemory = 24 << 20
+)
+
 // retryFraction is the fraction of the fleet's retry ratio that daemons use. The rest
 // covers retries that were saved up in an earlier window.
 const retryFraction = 0.6
