admitter, launcher: few requests on a slow CPU are served, times to retry differ

A CPU that is slow for other reasons than requests, as at the start of a daemon, would have limited admissions at nearly nothing, because nothing had been admitted before. The limit now begins only above 50 requests a second and core and never goes below; that for the link begins at the mean of 5 s if that is larger. Callers with little time left all got a third of it as Retry-After; the longest time is now spread too. Failures are void for 0.45 s after a peak of the link (0.8 s before) and only with timers that are 0.25 s late, so that repeated peaks do not hide a partition.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -49,6 +49,9 @@
 	// tickDelayLimit is the delay of a timer from which on the CPU is saturated. A VM with 0.144 cores
 	// may be suspended for 86 ms of each 100 ms although it has little to do.
 	tickDelayLimit = 100 * time.Millisecond
+	// strainDelay is the delay of a timer from which on connections may fail because of the CPU. Dials and probes
+	// have 300 ms and more.
+	strainDelay = 250 * time.Millisecond
 	// linkPeakTime and cpuPeakTime are how long a resource has to be saturated before the rate of admissions
 	// is limited. A peak of 0.3 s at three times the rate of the link saturates it for 1.7 s, but no caller
 	// abandons a request then; maxBacklog bounds longer ones.
@@ -75,6 +78,7 @@
 	// that has not been read after a second or waitFraction of their time. The least urgent requests, and those of accounts over their fair share, get
 	// fractions of it.
 	maxBacklog     = time.Second
+	minBacklog     = 500 * time.Millisecond // so that two long bodies do not exclude requests with short deadlines
 	urgencyBacklog = 0.3
 	shareBacklog   = 0.85
 	// maxBodyBacklog is how much of the backlog one body may be. A long one shares the link with others.
@@ -107,6 +111,9 @@
 
 	// minCPURateFraction is the same for the CPU, of which a refusal uses little.
 	minCPURateFraction = 0.1
+	// minRequestsPerCore is the number of requests per second and core that are always admitted. With fewer,
+	// something else uses the CPU, such as the start of the daemon.
+	minRequestsPerCore = 50
 	// While admitted bodies need more than drainBacklog on the link, or the CPU is saturated, requests are
 	// admitted at drainFraction of what it can do.
 	drainBacklog  = 200 * time.Millisecond
@@ -122,6 +129,9 @@
 	// rateDecay and shareDecay are the time constants of the rates of all requests and of accounts.
 	rateDecay  = 500 * time.Millisecond
 	shareDecay = 2 * time.Second
+	// baseDecay is that of the rate at which the limit for the link begins. Requests with large responses are
+	// too rare for rateDecay.
+	baseDecay = 5 * time.Second
 	// maintenanceInterval is the time between two updates of the fair share of a daemon that is not overloaded.
 	maintenanceInterval = time.Second
 
@@ -258,7 +268,7 @@
 	defer a.mu.Unlock()
 	a.limiter.offer(now, r)
 	if !a.limiter.active && a.config.Limits.Cores > 0 && !a.tickedAt.IsZero() && now.Sub(a.tickedAt) >= cpuPeakTime {
-		a.limiter.begin(now, CPU, 0)
+		a.limiter.beginCPU(now, a.config.Limits.Cores)
 	}
 	lacking := a.lacking(now, r)
 	if lacking != resourceCount {
@@ -332,7 +342,7 @@
 	backlog := float64(a.unread) / rate
 	allowed := maxBacklog.Seconds()
 	if r.TimeLeft > 0 {
-		allowed = min(allowed, r.TimeLeft.Seconds()*waitFraction)
+		allowed = min(allowed, max(r.TimeLeft.Seconds()*waitFraction, minBacklog.Seconds()))
 	}
 	allowed *= (1 - urgencyBacklog*r.urgency())
 	if backlog <= allowed*shareBacklog {
@@ -344,11 +354,13 @@
 // retryAfter returns when a refused caller may retry.
 func (a *Admitter) retryAfter(now time.Time, r *Request) time.Duration {
 	spread := minSpread + (maxSpread-minSpread)*a.config.Random()
-	d := time.Duration(float64(retryAfter) * a.limiter.excess(now) * spread)
+	longest := float64(maxRetryAfter)
 	if r.TimeLeft > 0 {
-		d = min(d, time.Duration(float64(r.TimeLeft)*waitFraction))
+		longest = min(longest, float64(r.TimeLeft)*waitFraction)
 	}
-	return min(max(d, minRetryAfter), maxRetryAfter)
+	// The longest time is spread as well.
+	d := min(float64(retryAfter)*a.limiter.excess(now), longest/maxSpread) * spread
+	return max(time.Duration(d), minRetryAfter)
 }
 
 // BodyRead records that the body of an admitted request has been read, or will not be.
@@ -404,7 +416,7 @@
 		a.occupied[Memory] = float64(s.Memory) / float64(l.Memory)
 		a.occupied[InProgress] = float64(a.inProgress) / (inProgressFraction * float64(l.Memory))
 	}
-	if loads[CPU] >= 1 || a.occupied[Descriptors] >= maxOccupied {
+	if l.Cores > 0 && s.TickDelay >= strainDelay || a.occupied[Descriptors] >= maxOccupied {
 		a.lastStrain.Store(now.UnixNano())
 	}
 	a.recentLink = s.RecentLink
@@ -413,7 +425,7 @@
 	}
 	others := max(s.Link*l.LinkBytesPerSecond-a.read.value(now, rateDecay)/rateDecay.Seconds(), 0)
 	a.linkRate = max(linkTarget*l.LinkBytesPerSecond-others, minLinkFraction*l.LinkBytesPerSecond)
-	a.limiter.observe(now, loads, s.TickDelay, a.linkRate, float64(a.unread))
+	a.limiter.observe(now, loads, s.TickDelay, l.Cores, a.linkRate, float64(a.unread))
 	a.limiting.Store(a.limiter.active)
 	changed := a.updateOverloaded()
 	a.shares.observe(now, slices.Contains(a.overloaded[:], true))
--- a/admitter/limiter.go
+++ b/admitter/limiter.go
@@ -22,13 +22,18 @@
 
 	adjustedAt time.Time
 
-	offered, admitted, completed decayed
+	// Sums of costs, and of requests.
+	offered, admitted, completed, base, arrivals decayed
 }
 
-func (l *limiter) offer(now time.Time, r *Request) { l.offered.add(now, rateDecay, r.cost()) }
+func (l *limiter) offer(now time.Time, r *Request) {
+	l.offered.add(now, rateDecay, r.cost())
+	l.arrivals.add(now, rateDecay, 1)
+}
 
 func (l *limiter) take(now time.Time, r *Request) {
 	l.admitted.add(now, rateDecay, r.cost())
+	l.base.add(now, baseDecay, r.cost())
 	if l.active {
 		l.fill(now)
 		l.tokens = max(l.tokens-r.cost(), -l.rate*maxDebtTime.Seconds())
@@ -62,7 +67,7 @@
 
 // observe takes the loads of link and CPU, where 1 is the limit, and adjusts the rate. linkRate is the bandwidth
 // for requests, unread the bytes of admitted bodies that have not been read.
-func (l *limiter) observe(now time.Time, loads [2]float64, tickDelay time.Duration, linkRate, unread float64) {
+func (l *limiter) observe(now time.Time, loads [2]float64, tickDelay time.Duration, cores, linkRate, unread float64) {
 	saturated := resourceCount
 	for r, load := range loads {
 		switch {
@@ -86,8 +91,11 @@
 		l.rate, l.lastLoaded, l.adjustedAt = linkRate*drainFraction, now, now
 	case l.active:
 		l.adjust(now, load)
-	case saturated != resourceCount:
-		l.begin(now, saturated, linkRate)
+	case saturated == Link:
+		base := max(l.admitted.value(now, rateDecay)/rateDecay.Seconds(), l.base.value(now, baseDecay)/baseDecay.Seconds(), requestCost)
+		l.begin(now, Link, min(base, linkRate), minRateFraction*min(base, linkRate))
+	case saturated == CPU:
+		l.beginCPU(now, cores)
 	}
 }
 
@@ -98,16 +106,25 @@
 	resetRatios = [...]float64{1, 0.5}
 )
 
-// begin starts to limit the rate, at what the link can carry or what was completed lately.
-func (l *limiter) begin(now time.Time, resource Resource, linkRate float64) {
-	l.active, l.resource = true, resource
-	admitted := max(l.admitted.value(now, rateDecay)/rateDecay.Seconds(), requestCost)
-	l.rate = min(admitted, max(l.completed.value(now, rateDecay)/rateDecay.Seconds(), minCompletedFraction*admitted))
-	l.minRate = l.rate * minCPURateFraction
-	if resource == Link {
-		l.rate = min(admitted, linkRate)
-		l.minRate = l.rate * minRateFraction
+// beginCPU starts to limit the rate at what was completed lately, unless there are too few requests to saturate
+// the CPU.
+func (l *limiter) beginCPU(now time.Time, cores float64) {
+	arrivals := l.arrivals.value(now, rateDecay) / rateDecay.Seconds()
+	least := minRequestsPerCore * cores
+	if arrivals <= least {
+		return
 	}
+	minRate := least * l.offered.value(now, rateDecay) / l.arrivals.value(now, rateDecay)
+	admitted := l.admitted.value(now, rateDecay) / rateDecay.Seconds()
+	completed := l.completed.value(now, rateDecay) / rateDecay.Seconds()
+	rate := min(admitted, max(completed, minCompletedFraction*admitted))
+	l.begin(now, CPU, max(rate, minRate), max(minCPURateFraction*rate, minRate))
+}
+
+// begin starts to limit the rate.
+func (l *limiter) begin(now time.Time, resource Resource, rate, minRate float64) {
+	l.active, l.resource = true, resource
+	l.rate, l.minRate = rate, minRate
 	l.tokens, l.filledAt, l.lastLoaded, l.adjustedAt = 0, now, now, now
 }
 
--- a/launcher/saturation.go
+++ b/launcher/saturation.go
@@ -23,8 +23,8 @@
 	saturationTime = time.Second
 	recoveryTime   = 2 * time.Second
 	// aftermath is how long after saturation failed connections are still due to it: connectTimeout
-	// and a few round trips through queues that drain.
-	aftermath = 800 * time.Millisecond
+	// and a round trip. With a longer one, a link with a short peak each second would hide a partition.
+	aftermath = 450 * time.Millisecond
 )
 
 // linkSaturation detects that callers send more than the VM's network link carries. The daemon
