--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -173,6 +173,9 @@
 	// Reachability and Delegate may be nil, in which case the daemon sends all requests itself.
 	Reachability Reachability
 	Delegate     Delegate
+	// ResponseMemory limits the bytes of responses that are buffered beyond the first ones of each. Zero
+	// means no limit.
+	ResponseMemory int64
 	// Probe opens a connection to an upstream and closes it.
 	Probe func(ctx context.Context, address netip.AddrPort) error
 	// RegionOf returns the region of a zone, or an empty name. Nil means that no region is known.
@@ -206,6 +209,7 @@
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	config Config
+	memory memory
 	// Durations in nanoseconds: reserving is the time to reserve tokens, answering the
 	// time from the arrival of a request to the first part of its response, serving the
 	// time from its arrival to the end of its response.
@@ -218,6 +222,7 @@
 		c.RegionOf = func(string) string { return "" }
 	}
 	return &Forwarder{
+		memory:    memory{limit: c.ResponseMemory},
 		config:    c,
 		reserving: c.Recorder.Histogram("request.reserving"),
 		answering: c.Recorder.Histogram("request.answering"),
@@ -230,6 +235,7 @@
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	x := &exchange{forwarder: f, request: r, writer: w, sends: r.Executions, executions: r.Executions}
 	defer x.endAdmission()
+	defer func() { x.serverErrorResponse.release() }()
 	if refusal := x.prepare(ctx); refusal != nil {
 		if refusal.Reason == refuser.Overloaded {
 			x.refuseOverloaded(refusal)
