--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -85,6 +85,7 @@
 	daemon := launcher.New(launcher.Config{
 		Settings: launcher.Settings{
 			Name: "edge-1", Zone: "z", FrontendAddress: addressOf(f.front), ReadinessAddress: addressOf(f.ready), RetryRatio: 10, GracePeriod: time.Minute,
+			WarmupOvershoot: 1.5, WarmupAllowance: 5,
 		},
 		Adapter:  platform.Adapter(store),
 		Listen:   func(a netip.AddrPort) (net.Listener, error) { return listeners[a], nil },
--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -75,6 +75,9 @@
 	unreachable             bool
 	unreachableAt, probedAt time.Time
 	share                   share
+	// cause is why it counts as cold, logged is true once that was logged.
+	cause  string
+	logged bool
 }
 
 func (c *coldState) isCold(now time.Time) bool {
@@ -171,6 +174,7 @@
 	defer t.mu.Unlock()
 	for id, c := range t.cold {
 		c.warmup = t.config.Warmup(c.start.Service)
+		t.logCold(c)
 		if !c.isCold(now) {
 			t.dropCold(id, c)
 		}
@@ -196,19 +200,26 @@
 		}
 		return c
 	}
-	c = &coldState{start: s, warmup: t.config.Warmup(s.Service)}
+	c = &coldState{start: s, warmup: t.config.Warmup(s.Service), cause: cause}
 	t.cold[s.ID] = c
 	t.restricted.Add(1)
-	if c.warmup.enabled() {
-		t.config.Recorder.Event(recorder.UpstreamCold, "upstream", s.Upstream, "service", s.Service, "cold", true, "cause", cause)
-	}
+	t.logCold(c)
 	return c
 }
 
+// logCold logs once that an upstream counts as cold. Without a configuration it is not known whether it does.
+func (t *Throttler) logCold(c *coldState) {
+	if c.logged || !c.warmup.enabled() {
+		return
+	}
+	c.logged = true
+	t.config.Recorder.Event(recorder.UpstreamCold, "upstream", c.start.Upstream, "service", c.start.Service, "cold", true, "cause", c.cause)
+}
+
 func (t *Throttler) dropCold(id ID, c *coldState) {
 	delete(t.cold, id)
 	t.restricted.Add(-1)
-	if c.warmup.enabled() {
+	if c.logged {
 		t.config.Recorder.Event(recorder.UpstreamCold, "upstream", c.start.Upstream, "service", c.start.Service, "cold", false)
 	}
 }
