--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -84,6 +84,14 @@
 	return c.warmup.enabled() && (c.unreachable || now.Before(c.statedUntil) || now.Before(c.keptUntil) || now.Before(c.reachedUntil))
 }
 
+// coldFilter is a set of hashes of IDs. It spares most of the look-ups of upstreams that are not cold, which
+// each choice makes for all upstreams.
+type coldFilter [16]uint64
+
+func (f *coldFilter) add(id ID) { f[(id>>6)%16] |= 1 << (id % 64) }
+
+func (f *coldFilter) mayHave(id ID) bool { return f[(id>>6)%16]&(1<<(id%64)) != 0 }
+
 // RecordWarmup records what the entry or a response of an upstream states.
 func (t *Throttler) RecordWarmup(now time.Time, s Start, w WarmupStatement) {
 	if w.Unreadable {
@@ -202,6 +210,7 @@
 	}
 	c = &coldState{start: s, warmup: t.config.Warmup(s.Service), cause: cause}
 	t.cold[s.ID] = c
+	t.coldFilter.add(s.ID)
 	t.restricted.Add(1)
 	t.logCold(c)
 	return c
@@ -218,6 +227,10 @@
 
 func (t *Throttler) dropCold(id ID, c *coldState) {
 	delete(t.cold, id)
+	t.coldFilter = coldFilter{}
+	for other := range t.cold {
+		t.coldFilter.add(other)
+	}
 	t.restricted.Add(-1)
 	if c.logged {
 		t.config.Recorder.Event(recorder.UpstreamCold, "upstream", c.start.Upstream, "service", c.start.Service, "cold", false)
@@ -237,7 +250,7 @@
 
 // coldState returns the state of an upstream if it is cold, else nil. The lock is held.
 func (t *Throttler) coldState(now time.Time, id ID) *coldState {
-	if len(t.cold) == 0 {
+	if !t.coldFilter.mayHave(id) {
 		return nil
 	}
 	c := t.cold[id]
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -147,9 +147,11 @@
 	mu     sync.Mutex
 	limits map[ID]*state
 	// pauses has the end of the pause of each upstream.
-	pauses  map[ID]time.Time
-	cold    map[ID]*coldState
-	members members
+	pauses map[ID]time.Time
+	cold   map[ID]*coldState
+	// coldFilter has the keys of cold.
+	coldFilter coldFilter
+	members    members
 	// brittle has the services whose upstreams are brittle. brittleServices is their number.
 	brittle         map[string]brittleness
 	brittleServices atomic.Int64
