throttler: growth of the fleet before an upstream turns cold does not count

Cause: the members were read only when an upstream was cold, so a fleet that had grown hours before sent it nothing for 2 s of the 3 s.

Change: the members are followed all the time.

--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -172,14 +172,13 @@
 	return starts
 }
 
-// ExpireCold forgets upstreams that are no longer cold. It has to be called several times per second
-// once there is a configuration.
+// ExpireCold forgets upstreams that are no longer cold, and follows the members of the fleet, so that earlier
+// growth does not count when an upstream turns cold. It has to be called several times per second once there is
+// a configuration.
 func (t *Throttler) ExpireCold(now time.Time) {
-	if t.restricted.Load() == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.loadMembers(now)
 	for id, c := range t.cold {
 		c.warmup = t.config.Warmup(c.start.Service)
 		t.logCold(c)
--- a/throttler/cold_test.go
+++ b/throttler/cold_test.go
@@ -180,7 +180,12 @@
 	current = false
 	now = now.Add(2 * time.Second)
 	require.Zero(t, allowed())
-	current, known = true, false
+	current = true
+	others = append(others, netip.MustParseAddrPort("10.0.0.3:7000"))
+	d.ExpireCold(now.Add(2 * time.Second))
+	now = now.Add(5 * time.Second)
+	require.Positive(t, allowed(), "the growth was seen before")
+	known = false
 	now = now.Add(2 * time.Second)
 	require.Zero(t, allowed())
 }
