--- a/throttler/cold.go
+++ b/throttler/cold.go
@@ -75,12 +75,23 @@
 	unreachable             bool
 	unreachableAt, probedAt time.Time
 	share                   share
+	// cause is why it counts as cold, logged is true once that was logged.
+	cause  string
+	logged bool
 }
 
 func (c *coldState) isCold(now time.Time) bool {
 	return c.warmup.enabled() && (c.unreachable || now.Before(c.statedUntil) || now.Before(c.keptUntil) || now.Before(c.reachedUntil))
 }
 
+// coldFilter is a set of hashes of IDs. It spares most of the look-ups of upstreams that are not cold, which
+// each choice makes for all upstreams.
+type coldFilter [16]uint64
+
+func (f *coldFilter) add(id ID) { f[(id>>6)%16] |= 1 << (id % 64) }
+
+func (f *coldFilter) mayHave(id ID) bool { return f[(id>>6)%16]&(1<<(id%64)) != 0 }
+
 // RecordWarmup records what the entry or a response of an upstream states.
 func (t *Throttler) RecordWarmup(now time.Time, s Start, w WarmupStatement) {
 	if w.Unreadable {
@@ -161,16 +172,16 @@
 	return starts
 }
 
-// ExpireCold forgets upstreams that are no longer cold. It has to be called several times per second
-// once there is a configuration.
+// ExpireCold forgets upstreams that are no longer cold, and follows the members of the fleet, so that earlier
+// growth does not count when an upstream turns cold. It has to be called several times per second once there is
+// a configuration.
 func (t *Throttler) ExpireCold(now time.Time) {
-	if t.restricted.Load() == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.loadMembers(now)
 	for id, c := range t.cold {
 		c.warmup = t.config.Warmup(c.start.Service)
+		t.logCold(c)
 		if !c.isCold(now) {
 			t.dropCold(id, c)
 		}
@@ -196,19 +207,31 @@
 		}
 		return c
 	}
-	c = &coldState{start: s, warmup: t.config.Warmup(s.Service)}
+	c = &coldState{start: s, warmup: t.config.Warmup(s.Service), cause: cause}
 	t.cold[s.ID] = c
+	t.coldFilter.add(s.ID)
 	t.restricted.Add(1)
-	if c.warmup.enabled() {
-		t.config.Recorder.Event(recorder.UpstreamCold, "upstream", s.Upstream, "service", s.Service, "cold", true, "cause", cause)
-	}
+	t.logCold(c)
 	return c
 }
 
+// logCold logs once that an upstream counts as cold. Without a configuration it is not known whether it does.
+func (t *Throttler) logCold(c *coldState) {
+	if c.logged || !c.warmup.enabled() {
+		return
+	}
+	c.logged = true
+	t.config.Recorder.Event(recorder.UpstreamCold, "upstream", c.start.Upstream, "service", c.start.Service, "cold", true, "cause", c.cause)
+}
+
 func (t *Throttler) dropCold(id ID, c *coldState) {
 	delete(t.cold, id)
+	t.coldFilter = coldFilter{}
+	for other := range t.cold {
+		t.coldFilter.add(other)
+	}
 	t.restricted.Add(-1)
-	if c.warmup.enabled() {
+	if c.logged {
 		t.config.Recorder.Event(recorder.UpstreamCold, "upstream", c.start.Upstream, "service", c.start.Service, "cold", false)
 	}
 }
@@ -226,7 +249,7 @@
 
 // coldState returns the state of an upstream if it is cold, else nil. The lock is held.
 func (t *Throttler) coldState(now time.Time, id ID) *coldState {
-	if len(t.cold) == 0 {
+	if !t.coldFilter.mayHave(id) {
 		return nil
 	}
 	c := t.cold[id]
