balancer: design note, faster choice, and fewer ways to learn or refuse wrongly

The hash is written out (a test compares it with XXH64), the cost is computed without copies, and ages are times of expiry. Upstream factors are learned only once the service's own is known and depends on the work. Congestion begins at 0.6 of the time left.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -15,6 +15,9 @@
 // announce this to each other (package announcer). Of any other part, half counts as cached
 // at the preferred upstream. The load consists of the requests and prefill that all daemons
 // have in flight at the upstream and of the load that the upstream reported, as a time.
+// Cost and predicted time to first byte are multiplied by how slow the upstream is relative to its
+// service, as learned from responses and as reported. Work that is less urgent than the request does not
+// count, and upstreams whose memory the request may exceed are left out while another has room.
 // Requests to plain services, which have no engine, go to the upstream with the fewest
 // requests, with a preference for the own availability zone.
 //
@@ -24,6 +27,9 @@
 // Brittle upstreams, which fail when they have to reject many requests, get only requests for which
 // they have a slot, and few at a time that they have not accepted yet.
 //
+// A request is refused at once if all upstreams have just rejected others, or if its response cannot
+// begin before its deadline. docs/design/upstream-choice.md describes the rules.
+//
 // Upstreams that fail are ejected for a time that doubles with each consecutive failure. If
 // more than half of a service would be ejected, all its upstreams are used again, because a
 // fault that all of them show must not leave the service without upstreams.
@@ -37,9 +43,9 @@
 package balancer
 
 import (
-	"encoding/binary"
 	"fmt"
 	"iter"
+	"math/bits"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -343,11 +349,27 @@
 	return parts[max(len(parts)-2, 0)].ID
 }
 
+// The primes of XXH64.
+const (
+	xxPrime1 = 11400714785074694791
+	xxPrime2 = 14029467366897019727
+	xxPrime3 = 1609587929392839161
+	xxPrime4 = 9650029242287828579
+	xxPrime5 = 2870177450012600261
+)
+
 // rendezvousWeight returns the weight of an upstream for a key. The upstream with the
-// highest weight is the preferred one.
+// highest weight is the preferred one. It is XXH64 of both numbers in little-endian order, written
+// out because it is computed for each upstream and request. All daemons have to use the same function.
 func rendezvousWeight(key, upstream uint64) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], key)
-	binary.LittleEndian.PutUint64(b[8:], upstream)
-	return xxhash.Sum64(b[:])
+	h := uint64(xxPrime5 + 16)
+	for _, v := range [...]uint64{key, upstream} {
+		h ^= bits.RotateLeft64(v*xxPrime2, 31) * xxPrime1
+		h = bits.RotateLeft64(h, 27)*xxPrime1 + xxPrime4
+	}
+	h ^= h >> 33
+	h *= xxPrime2
+	h ^= h >> 29
+	h *= xxPrime3
+	return h ^ h>>32
 }
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -48,9 +48,12 @@
 		}
 	}
 	a := admission{
-		timeLeft: q.TimeLeft, reliable: service.reliable(now), upstreams: len(candidates), full: countFull(now, candidates),
+		timeLeft: q.TimeLeft, reliable: service.reliable(now), upstreams: len(candidates),
 		busy: true, random: b.config.Random(),
 	}
+	if !now.After(service.fullUntil) {
+		a.full = countFull(now, candidates)
+	}
 	if len(q.Exclude) == 0 { // a retry was admitted before
 		a.excess = service.demand.excess(now, q.Account)
 	}
@@ -146,13 +149,11 @@
 		if limit := b.config.Limits.MaxPending(now, string(u.Service), len(q.Candidates), s.limitID, freeSlots); limit != 0 && (s.pending >= limit || requests >= float64(u.Slots)) {
 			continue
 		}
-		c := candidate{upstream: u, state: s, requests: requests, othersPrefill: othersPrefill, staleLimit: b.config.Limits.IsStale(now, s.limitID)}
 		if s.isEjected(now) {
-			c.staleLimit = false
-			ejected = append(ejected, c)
-		} else {
-			available = append(available, c)
+			ejected = append(ejected, candidate{upstream: u, state: s, requests: requests, othersPrefill: othersPrefill})
+			continue
 		}
+		available = append(available, candidate{upstream: u, state: s, requests: requests, othersPrefill: othersPrefill, staleLimit: b.config.Limits.IsStale(now, s.limitID)})
 	}
 	b.available, b.ejected = available, ejected // keep what append has allocated
 	if len(ejected) > len(available) && len(q.Candidates) > 3 {
@@ -193,55 +194,70 @@
 // lowestCost returns the upstream at which the request has the lowest cost, and what is predicted
 // there. An upstream at which the response begins in time is preferred to those at which it does not.
 func (b *Balancer) lowestCost(now time.Time, candidates []candidate, q *Query, service *serviceSpeed, a *admission) (*candidate, prediction) {
-	key := affinityKey(q.Parts)
-	preferred := 0
 	asUrgent, moreUrgent := service.mix.share(q.Priority)
-	needed, fullCount, exceededCount := newMemory(q, service, moreUrgent), 0, 0
+	preferred, full := b.survey(now, candidates, q, service, a, asUrgent, moreUrgent)
+	best, even, soonest := -1, -1, -1
+	var lowest, evenLowest time.Duration
+	var bestFirstByte time.Duration
 	for i := range candidates {
 		c := &candidates[i]
-		c.ahead = c.state.prefillBy.upTo(q.Priority) + time.Duration(asUrgent*float64(c.othersPrefill))
-		a.busy = a.busy && c.requests > 0
-		exceeded := !needed.fits(c.state.committed, c.requests-float64(c.state.inFlight))
-		if exceeded {
-			exceededCount++
+		if c.full && full < len(candidates) {
+			continue
 		}
-		if c.full = exceeded || a.full > 0 && now.Before(c.state.fullUntil); c.full {
-			fullCount++
+		cost, evenCost, firstByte := c.estimate(now, q, service, i == preferred)
+		cost += lateness(firstByte, q.Target, moreUrgent)
+		if best < 0 || cost < lowest || cost == lowest && c.weight > candidates[best].weight {
+			best, lowest, bestFirstByte = i, cost, firstByte
 		}
-		c.requests -= (1 - asUrgent) * max(c.requests-float64(c.upstream.Slots), 0) // those that wait behind this one
-		candidates[i].weight = rendezvousWeight(key, candidates[i].state.hash)
-		if candidates[i].weight > candidates[preferred].weight {
-			preferred = i
+		if even < 0 || evenCost < evenLowest || evenCost == evenLowest && c.weight > candidates[even].weight {
+			even, evenLowest = i, evenCost
+		}
+		if soonest < 0 || firstByte < a.firstByte {
+			soonest, a.firstByte = i, firstByte
 		}
 	}
-	b.countExceeded(exceededCount, len(candidates))
-	best, lowest := -1, prediction{}
-	soonest, soonestPrediction := -1, prediction{}
-	evenBest, evenLowest := -1, time.Duration(0)
+	if q.TimeLeft > 0 && a.reliable && bestFirstByte > q.TimeLeft && a.firstByte <= q.TimeLeft {
+		best = soonest
+	}
+	if even != best {
+		b.slowAvoided.Inc(1)
+	}
+	return &candidates[best], candidates[best].predict(now, q, service, best == preferred)
+}
+
+// survey fills in what the cost of the candidates depends on. It returns the preferred one and the
+// number of those that are full.
+func (b *Balancer) survey(now time.Time, candidates []candidate, q *Query, service *serviceSpeed, a *admission, asUrgent, moreUrgent float64) (preferred, full int) {
+	key := affinityKey(q.Parts)
+	needed, exceeded := newMemory(q, service, moreUrgent), 0
 	for i := range candidates {
 		c := &candidates[i]
-		if c.full && fullCount < len(candidates) {
-			continue
+		s := c.state
+		c.ahead = time.Duration(asUrgent * float64(c.othersPrefill))
+		if s.prefill > 0 {
+			c.ahead += s.prefillBy.upTo(q.Priority)
 		}
-		p := c.predict(now, q, service, i == preferred)
-		p.cost += lateness(p.firstByte, q.Target, moreUrgent)
-		if best < 0 || p.firstByte < a.firstByte {
-			a.firstByte, soonest, soonestPrediction = p.firstByte, i, p
+		if c.requests == 0 {
+			a.busy = false
 		}
-		if evenBest < 0 || p.evenCost < evenLowest || p.evenCost == evenLowest && c.weight > candidates[evenBest].weight {
-			evenBest, evenLowest = i, p.evenCost
+		c.full = a.full > 0 && now.Before(s.fullUntil)
+		if !needed.fits(s.committed, c.requests-float64(s.inFlight)) {
+			exceeded++
+			c.full = true
 		}
-		if best < 0 || p.cost < lowest.cost || p.cost == lowest.cost && c.weight > candidates[best].weight {
-			best, lowest = i, p
+		if c.full {
+			full++
+		}
+		if waiting := c.requests - float64(c.upstream.Slots); waiting > 0 {
+			c.requests -= (1 - asUrgent) * waiting // those wait behind this one
+		}
+		c.weight = rendezvousWeight(key, s.hash)
+		if c.weight > candidates[preferred].weight {
+			preferred = i
 		}
 	}
-	if q.TimeLeft > 0 && a.reliable && lowest.firstByte > q.TimeLeft && a.firstByte <= q.TimeLeft {
-		best, lowest = soonest, soonestPrediction
-	}
-	if evenBest != best {
-		b.slowAvoided.Inc(1)
-	}
-	return &candidates[best], lowest
+	b.countExceeded(exceeded, len(candidates))
+	return preferred, full
 }
 
 // countExceeded counts a choice in which the request did not fit into the memory of some upstreams.
@@ -274,7 +290,7 @@
 }
 
 func prefillTime(tokens int64) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerSecond * float64(time.Second))
+	return time.Duration(float64(tokens) * (float64(time.Second) / prefillTokensPerSecond))
 }
 
 // crossZonePenalty is the cost of a request to another zone, as a number of requests at an
@@ -330,7 +346,9 @@
 	}
 	service.learn(c.work, corrected)
 	service.observedAt = now
-	p.learn(now, service.predict(c.work), took, slowdown)
+	if service.showsWork() {
+		p.learn(now, service.predict(c.work), took, slowdown)
+	}
 	if p.changed() {
 		b.config.Recorder.Event(recorder.UpstreamSpeed, "upstream", c.Upstream.Name, "service", c.Upstream.Service, "factor", p.usual)
 	}
@@ -383,6 +401,7 @@
 			s.fullUntil = time.Time{} // a slot is free now
 		case Full:
 			s.fullUntil = now.Add(min(max(service.slotTime(c.Upstream.Slots), minFull), maxFull))
+			service.fullUntil = now.Add(maxFull)
 		default: // says nothing about the capacity
 		}
 	}
--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -41,7 +41,7 @@
 	observationLifetime = 2 * time.Second
 	// congestedTime is the fraction of the time left from which a predicted time to first byte
 	// shows congestion, congestedFull the fraction of upstreams that have just rejected requests.
-	congestedTime, congestedFull = 0.25, 0.5
+	congestedTime, congestedFull = 0.6, 0.5
 	// defaultDuration is the duration of a request of which none is known.
 	defaultDuration = time.Second
 	// durationGain is the weight of one request in the mean duration.
--- a/balancer/report.go
+++ b/balancer/report.go
@@ -30,21 +30,21 @@
 	running, waiting, slots timedFigure
 }
 
-// timedFigure is a figure and the time at which it was received.
+// timedFigure is a figure and the time until which it is used.
 type timedFigure struct {
 	value int
-	at    time.Time
+	until time.Time
 }
 
 func (f *timedFigure) set(now time.Time, figure Figure) {
 	if figure.known {
-		f.value, f.at = figure.value, now
+		f.value, f.until = figure.value, now.Add(loadLifetime)
 	}
 }
 
 // fresh returns the value, or zero if it is older than loadLifetime.
 func (f *timedFigure) fresh(now time.Time) int {
-	if f.at.IsZero() || now.Sub(f.at) > loadLifetime {
+	if now.After(f.until) {
 		return 0
 	}
 	return f.value
@@ -60,7 +60,7 @@
 // recordFull records that the upstream had no capacity: as many requests as it has slots wait.
 func (r *report) recordFull(now time.Time) {
 	r.waiting.set(now, NewFigure(max(r.waiting.value, r.slots.value)))
-	r.running.at = now
+	r.running.until = now.Add(loadLifetime)
 }
 
 // requests returns how many requests the upstream has according to its fresh figures.
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -61,6 +61,8 @@
 	// that were refused.
 	duration  time.Duration
 	returnsAt time.Time
+	// fullUntil is when no upstream counts as full any more.
+	fullUntil time.Time
 	// meanTokens is the mean of prompt and maximum output of a request.
 	meanTokens float64
 }
@@ -86,6 +88,12 @@
 	v.observations++
 }
 
+// showsWork reports whether times to first byte are known to depend on the work. They do not if upstreams
+// begin to respond before they have processed the prompt, and then say nothing about an upstream's speed.
+func (v *serviceSpeed) showsWork() bool {
+	return v.observations >= minObservations && v.prefill > 2*minServiceFactor
+}
+
 // upstreamSpeed holds how fast one upstream is relative to its service. What it usually is and what
 // it is now are kept apart, so that a passing slowdown has no lasting effect.
 type upstreamSpeed struct {
@@ -93,35 +101,38 @@
 	observations float64 // weighted
 	// usual is the learned factor as it is used. It is 1 within the tolerance.
 	usual float64
+	// even is true while nothing has been learned or reported that makes the factor differ from 1.
+	even bool
 	// uneven is true if the factor was beyond unevenFactor and has not been 1 since.
 	uneven bool
 	// recent is what the last observations were beyond the learned and the reported factor, at
 	// least 1.
 	recent   float64
 	recentAt time.Time
-	// reported is the slowdown that the upstream reported at reportedAt.
-	reported   float64
-	reportedAt time.Time
+	// reported is the slowdown that the upstream reported. It is used until reportedUntil.
+	reported      float64
+	reportedUntil time.Time
 	// withReport and withoutReport are the mean errors of predictions with and without the
 	// report. A report that makes them worse is not used.
 	withReport, withoutReport float64
 }
 
-func newUpstreamSpeed() upstreamSpeed { return upstreamSpeed{usual: 1, recent: 1} }
+func newUpstreamSpeed() upstreamSpeed { return upstreamSpeed{usual: 1, recent: 1, even: true} }
 
 // report records a slowdown that the upstream reported. Zero means that it reported none.
 func (p *upstreamSpeed) report(now time.Time, slowdown float64) {
 	if slowdown > 0 {
-		p.reported, p.reportedAt = slowdown, now
+		p.even = false
+		p.reported, p.reportedUntil = clamp(slowdown, minFactor, maxFactor), now.Add(loadLifetime)
 	}
 }
 
 // slowdown returns the reported slowdown, or 1 if it is not known now.
 func (p *upstreamSpeed) slowdown(now time.Time) float64 {
-	if p.reportedAt.IsZero() || now.Sub(p.reportedAt) > loadLifetime {
+	if now.After(p.reportedUntil) {
 		return 1
 	}
-	return clamp(p.reported, minFactor, maxFactor)
+	return p.reported
 }
 
 // trusted reports whether the reports have not made predictions worse.
@@ -171,6 +182,7 @@
 	current := p.recentFactor(now)
 	p.recent = clamp(current+recentGain*weight*(ratio/math.Exp(p.usualLog)-current), 1, maxFactor)
 	p.recentAt = now
+	p.even = p.usual == 1 && p.recent < recentTolerance && now.After(p.reportedUntil)
 }
 
 // learnUsual corrects the learned factor. It is not called for the time of a reported slowdown, which
