--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -238,40 +238,42 @@
 
 // upstreamState is the state of one upstream.
 type upstreamState struct {
+	// The fields up to waiting are read for each request, which takes longest where memory is slow.
 	hash        uint64
 	limitID     throttler.ID
 	startedAtMs int64
 	inFlight    int
 	// pending is the number of requests whose response has not started.
 	pending int
-	// prefill is the prefill time of the requests whose response has not started, and prefillBy
-	// the same by priority.
-	prefill   time.Duration
-	prefillBy byPriority
+	// prefill is the prefill time of the requests whose response has not started.
+	prefill time.Duration
 	// committed is the prompt and maximum output of the requests in flight, in tokens.
 	committed int64
-	// parts holds the time at which each part was last sent to the upstream.
-	parts map[uint64]time.Time
 	// others holds the load of other daemons by their incarnation. othersPrefill and
 	// othersInFlight are its sums, and none of it expires before othersExpire.
 	others         map[uint32]remoteLoad
 	othersPrefill  time.Duration
 	othersInFlight int
 	othersExpire   time.Time
-	// announced is true if the last notice contained requests in flight at the upstream.
-	announced bool
-	reported  report
-	speed     upstreamSpeed
+	// ejectedUntil is the end of the ejection. It is zero after a served request.
+	ejectedUntil time.Time
+	// trial is true while one request tests an upstream that was ejected. It keeps other
+	// requests away.
+	trial    bool
+	reported report
+	speed    upstreamSpeed
+	// parts holds the time at which each part was last sent to the upstream.
+	parts map[uint64]time.Time
 	// waiting has the requests whose response has not started, oldest first.
 	waiting []waitingRequest
+
+	// prefillBy is prefill by priority.
+	prefillBy byPriority
 	// fullUntil is how long the upstream counts as full after it has rejected a request.
 	fullUntil time.Time
 	failures  int // consecutive, since the last served request
-	// ejectedUntil is the end of the ejection. It is zero after a served request.
-	ejectedUntil time.Time
-	// trial is true while one request tests an upstream that was ejected. It keeps other
-	// requests away.
-	trial bool
+	// announced is true if the last notice contained requests in flight at the upstream.
+	announced bool
 }
 
 // waitingRequest is a request whose response has not started.
--- a/balancer/speed.go
+++ b/balancer/speed.go
@@ -97,24 +97,24 @@
 // upstreamSpeed holds how fast one upstream is relative to its service. What it usually is and what
 // it is now are kept apart, so that a passing slowdown has no lasting effect.
 type upstreamSpeed struct {
-	usualLog     float64 // logarithm of the learned factor
-	observations float64 // weighted
-	// usual is the learned factor as it is used. It is 1 within the tolerance.
-	usual float64
 	// even is true while nothing has been learned or reported that makes the factor differ from 1.
 	even bool
 	// uneven is true if the factor was beyond unevenFactor and has not been 1 since.
 	uneven bool
+	// usual is the learned factor as it is used. It is 1 within the tolerance.
+	usual float64
 	// recent is what the last observations were beyond the learned and the reported factor, at
 	// least 1.
-	recent   float64
-	recentAt time.Time
+	recent float64
 	// reported is the slowdown that the upstream reported. It is used until reportedUntil.
 	reported      float64
 	reportedUntil time.Time
 	// withReport and withoutReport are the mean errors of predictions with and without the
 	// report. A report that makes them worse is not used.
 	withReport, withoutReport float64
+	recentAt                  time.Time
+	usualLog                  float64 // logarithm of the learned factor
+	observations              float64 // weighted
 }
 
 func newUpstreamSpeed() upstreamSpeed { return upstreamSpeed{usual: 1, recent: 1, even: true} }
