balancer: no extra cost of a late first byte

Cause: under overload most first bytes are late, and twice the excess over the route's target outweighed cached parts.

Change: the term and the target of a query are removed. The test of a burst of least urgent requests passes without it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -82,8 +82,6 @@
 	MaxOutput, Memory int64
 	// Priority is from 0 to 9. Upstreams process requests with a lower number first.
 	Priority int
-	// Target is the time within which the response should begin, or zero.
-	Target time.Duration
 	// TimeLeft is the time until the deadline of the caller, or zero if there is none.
 	TimeLeft time.Duration
 	// Account is the client account, or empty.
@@ -225,8 +223,7 @@
 	// memoryAvoided counts choices in which an upstream was left out because its memory would have
 	// been exceeded, memoryExceeded those in which that was so at all upstreams.
 	memoryAvoided, memoryExceeded metrics.Counter
-	// slowAvoided counts requests that would have gone elsewhere if all upstreams were equally fast
-	// and lateness had no cost.
+	// slowAvoided counts requests that would have gone elsewhere if all upstreams were equally fast.
 	slowAvoided metrics.Counter
 }
 
--- a/balancer/bench_test.go
+++ b/balancer/bench_test.go
@@ -32,7 +32,7 @@
 					if load == "reports" {
 						s.reported.record(now, Load{Running: NewFigure(3), Waiting: NewFigure(1)})
 						s.speed.report(now, 1.1)
-						q.Memory, q.TimeLeft, q.Target, q.Account = 400_000, 5*time.Second, time.Second, "a"
+						q.Memory, q.TimeLeft, q.Account = 400_000, 5*time.Second, "a"
 					}
 				}
 				b.ReportAllocs()
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -192,7 +192,7 @@
 }
 
 // lowestCost returns the upstream at which the request has the lowest cost, and what is predicted
-// there. An upstream at which the response begins in time is preferred to those at which it does not.
+// there. An upstream at which the response begins before the caller gives up is preferred to those at which it does not.
 func (b *Balancer) lowestCost(now time.Time, candidates []candidate, q *Query, service *serviceSpeed, a *admission) (*candidate, prediction) {
 	asUrgent, moreUrgent := service.mix.share(q.Priority)
 	preferred, full := b.survey(now, candidates, q, service, a, asUrgent, moreUrgent)
@@ -205,7 +205,6 @@
 			continue
 		}
 		cost, evenCost, firstByte := c.estimate(now, q, service, i == preferred)
-		cost += lateness(firstByte, q.Target, moreUrgent)
 		if best < 0 || cost < lowest || cost == lowest && c.weight > candidates[best].weight {
 			best, lowest, bestFirstByte = i, cost, firstByte
 		}
--- a/balancer/priority.go
+++ b/balancer/priority.go
@@ -8,10 +8,6 @@
 	// mixDecay is the factor by which each request reduces the weight of the earlier ones. The mix is
 	// that of about the last 100 requests.
 	mixDecay = 0.98
-	// lateWeight is the cost of a first byte beyond the target of its route, relative to waiting for
-	// the same time. With it, prefill still costs more than twice as much as waiting: in an overload all
-	// requests are late, and cached parts save the work that makes them so.
-	lateWeight = 2
 )
 
 // byPriority holds a prefill time for each priority.
@@ -55,12 +51,3 @@
 	asUrgent = (moreUrgent + m.weights[priority]) / m.total
 	return min(asUrgent, 1), min(moreUrgent/m.total, 1)
 }
-
-// lateness returns the cost of a first byte beyond the target, for a request of which a share of the
-// work is more urgent. It is less for less urgent requests, which give way to the others.
-func lateness(firstByte, target time.Duration, moreUrgent float64) time.Duration {
-	if target <= 0 || firstByte <= target {
-		return 0
-	}
-	return time.Duration(lateWeight * (1 - moreUrgent) * float64(firstByte-target))
-}
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -297,12 +297,9 @@
 	urgent, other := mixed(40), mixed(200)
 	all := simulate(New(Config{}), engines, 25*time.Second, func(at time.Duration, random *rand.Rand) []*simRequest {
 		list := urgent(at, random)
-		for _, r := range list {
-			r.query.Target = 300 * time.Millisecond
-		}
 		if at > 8*time.Second && at < 18*time.Second {
 			for _, r := range other(at, random) {
-				r.query.Priority, r.query.Target = 9, 8*time.Second
+				r.query.Priority = 9
 				list = append(list, r)
 			}
 		}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -144,7 +144,6 @@
 		MaxOutput:  int64(x.request.MaxOutputTokens),
 		Memory:     x.service.CacheTokens,
 		Priority:   x.priority(),
-		Target:     x.route.TargetLatency,
 		TimeLeft:   max(time.Until(x.deadline), time.Millisecond),
 		Account:    x.accountName(),
 		Started:    x.responseStarted,
