balancer, throttler, launcher: failures of an impaired daemon, restarts, clock jumps

TestPeakDoesNotDependOnWallClock covers the link; the admitter has no test of its own for it. - balancer: the cached view is dropped when the state of an upstream is replaced. RetryAfter with an older list left a view whose requests never ended. - balancer: if the upstream whose limit is to be rechecked has no room, the others are tried before the request is refused.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -235,8 +235,9 @@
 type Admitter struct {
 	config  Config
 	refused [resourceCount]metrics.Counter
-	// lastStrain is when the CPU or the descriptors were last saturated, in nanoseconds since 1970.
-	lastStrain atomic.Int64
+	// lastStrain is when the CPU or the descriptors were last saturated, or nil. It keeps the monotonic reading:
+	// after a clock that was set back, the strain would last for as long.
+	lastStrain atomic.Pointer[time.Time]
 	// limiting is true while the rate is limited.
 	limiting atomic.Bool
 
@@ -386,7 +387,7 @@
 // admissions are limited.
 func (a *Admitter) Strained(now time.Time, within time.Duration) (strained, limiting bool) {
 	last := a.lastStrain.Load()
-	return last != 0 && now.UnixNano()-last < int64(within), a.limiting.Load()
+	return last != nil && now.Sub(*last) < within, a.limiting.Load()
 }
 
 // Tick records that the timer of the next sample has fired. If Observe does not follow, because other goroutines
@@ -417,7 +418,8 @@
 		a.occupied[InProgress] = float64(a.inProgress) / (inProgressFraction * float64(l.Memory))
 	}
 	if l.Cores > 0 && s.TickDelay >= strainDelay || a.occupied[Descriptors] >= maxOccupied {
-		a.lastStrain.Store(now.UnixNano())
+		strainedAt := now // a copy, so that now stays on the stack
+		a.lastStrain.Store(&strainedAt)
 	}
 	a.recentLink = s.RecentLink
 	if l.LinkBytesPerSecond <= 0 {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -304,6 +304,9 @@
 func (b *Balancer) state(u *registrar.Upstream) *upstreamState {
 	s := b.states[u.Name]
 	if s == nil || s.startedAtMs != u.StartedAtMs {
+		if s != nil {
+			delete(b.views, u.Service) // a view with the old state would count requests that never end there
+		}
 		s = &upstreamState{
 			hash: xxhash.Sum64String(string(u.Name)), startedAtMs: u.StartedAtMs, limitID: u.LimitID(),
 			parts: make(map[uint64]time.Time), others: make(map[uint32]remoteLoad), speed: newUpstreamSpeed(),
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -404,3 +404,46 @@
 	}
 	require.InDelta(t, 1, b.states["i-3"].speed.usual, 0.01)
 }
+
+// Guards against requests that count for ever at an upstream that has restarted: a request that holds the list
+// from before asks when to retry, after one with the new list was sent.
+func TestOldListDoesNotHideRestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	before, after := prompt(7), prompt(7)
+	after.Candidates = slices.Clone(after.Candidates)
+	for i := range after.Candidates {
+		after.Candidates[i].StartedAtMs++
+	}
+	c, _ := b.Choose(now, after)
+	b.End(now, &c, Result{})
+	b.RetryAfter(now, before)
+	for range 3 {
+		c, _ := b.Choose(now, after)
+		b.End(now, &c, Result{})
+	}
+	for i, s := range b.statesOf(after.Candidates) {
+		require.Zero(t, s.inFlight, "upstream %d", i)
+	}
+}
+
+// Guards against refusals because the upstream whose limit should be rechecked has just rejected a request,
+// although others have room.
+func TestRecheckedUpstreamWithoutRoomRefusesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := throttler.New(throttler.Config{})
+	b := New(Config{Limits: limits})
+	q := prompt(7)
+	limited := &q.Candidates[2]
+	limits.Record(limited.LimitID(), throttler.Response{SentAt: now, ReceivedAt: now, Limit: throttler.Limit{Stated: true, Rate: 100}})
+	limits.Allows(now.Add(3*time.Second), limited.LimitID()) // computes the share, which is full 3 s later
+	now = now.Add(6 * time.Second)
+	c, ok := b.Choose(now, q)
+	require.True(t, ok)
+	require.Equal(t, limited.Name, c.Upstream.Name)
+	b.End(now, &c, Result{Outcome: Full})
+	now = now.Add(15 * time.Millisecond)
+	c, ok = b.Choose(now, q)
+	require.True(t, ok)
+	require.NotEqual(t, limited.Name, c.Upstream.Name)
+}
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -41,30 +41,18 @@
 	if len(q.Exclude) == 0 { // a retry is not another demand
 		service.demand.add(now, q.Account, q.Tokens+q.MaxOutput+1)
 	}
-	for i := range candidates {
-		if candidates[i].staleLimit {
-			candidates = candidates[i : i+1]
-			break
-		}
-	}
-	a := admission{
-		timeLeft: q.TimeLeft, reliable: service.reliable(now), upstreams: len(candidates),
-		busy: true, random: b.config.Random(),
-	}
-	if !now.After(service.fullUntil) {
-		a.full = countFull(now, candidates)
-	}
-	if len(q.Exclude) == 0 { // a retry was admitted before
-		a.excess = service.demand.excess(now, q.Account)
-	}
-	var best *candidate
-	var p prediction
-	if q.Engine {
-		best, p = b.lowestCost(now, candidates, &q, service, &a)
-	} else {
-		best = b.fewestRequests(candidates)
-	}
-	if reason, refused := a.refuse(); refused && !q.Started {
+	rechecked := candidates
+	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.staleLimit }); i >= 0 {
+		rechecked = candidates[i : i+1]
+	}
+	best, p, a := b.best(now, rechecked, &q, service)
+	reason, refused := a.refuse()
+	if refused && len(rechecked) < len(candidates) {
+		// The upstream whose limit should be rechecked has no room, but others may have.
+		best, p, a = b.best(now, candidates, &q, service)
+		reason, refused = a.refuse()
+	}
+	if refused && !q.Started {
 		return b.refusal(now, &q, reason, a.firstByte), false
 	}
 	b.config.Limits.Take(now, best.state.limitID)
@@ -81,6 +69,26 @@
 	return c, true
 }
 
+// best returns the best candidate, what is predicted there, and what decides whether the request is refused.
+// The lock is held.
+func (b *Balancer) best(now time.Time, candidates []candidate, q *Query, service *serviceSpeed) (*candidate, prediction, admission) {
+	a := admission{
+		timeLeft: q.TimeLeft, reliable: service.reliable(now), upstreams: len(candidates),
+		busy: true, random: b.config.Random(),
+	}
+	if !now.After(service.fullUntil) {
+		a.full = countFull(now, candidates)
+	}
+	if len(q.Exclude) == 0 { // a retry was admitted before
+		a.excess = service.demand.excess(now, q.Account)
+	}
+	if !q.Engine {
+		return b.fewestRequests(candidates), prediction{}, a
+	}
+	best, p := b.lowestCost(now, candidates, q, service, &a)
+	return best, p, a
+}
+
 // begin counts a request at an upstream.
 func (b *Balancer) begin(now time.Time, s *upstreamState, q *Query, c *Choice) {
 	s.inFlight++
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"laburnumline/balancer"
@@ -168,7 +169,7 @@
 	if err != nil {
 		failed = x.sendFailure(err)
 		if failed.outcome == balancer.Unreachable && ctx.Err() == nil {
-			x.recordUnreachable(&choice.Upstream, sentAt)
+			x.recordUnreachable(&choice.Upstream, sentAt, err)
 		}
 	} else {
 		x.recordLimit(&choice.Upstream, sentAt, response)
@@ -215,9 +216,10 @@
 }
 
 // recordUnreachable records that an upstream accepts no connection. It may be cold when it does again.
-func (x *exchange) recordUnreachable(u *registrar.Upstream, sentAt time.Time) {
+func (x *exchange) recordUnreachable(u *registrar.Upstream, sentAt time.Time, err error) {
 	x.forwarder.config.Limits.Record(u.LimitID(), throttler.Response{
 		Upstream: string(u.Name), Service: string(u.Service), Address: u.Address, SentAt: sentAt, ReceivedAt: time.Now(), Unreachable: true,
+		Refused: errors.Is(err, syscall.ECONNREFUSED),
 	})
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -218,7 +218,7 @@
 	})
 	d.pinner = pinner.New(pinner.Config{Self: s.streamAddress(), Peers: d.streamPeers, Send: d.sendStreamMessage, Recorder: rec})
 	d.throttler = throttler.New(throttler.Config{
-		Self: s.InternalAddress, Members: d.knownPeers, MembersCurrent: d.membersCurrent, Warmup: d.warmupOf, Changed: d.hastenNotice, Recorder: rec,
+		Self: s.InternalAddress, Members: d.knownPeers, MembersCurrent: d.membersCurrent, Warmup: d.warmupOf, SuspectUnreachable: d.suspectUnreachable, Changed: d.hastenNotice, Recorder: rec,
 	})
 	d.balancer = balancer.New(balancer.Config{Zone: s.Zone, Limits: d.throttler, Recorder: rec})
 	d.pool = connector.New(connector.Config{
--- a/launcher/saturation.go
+++ b/launcher/saturation.go
@@ -35,9 +35,9 @@
 	// lastUnsaturated is when the utilization was last below saturatedUtilization,
 	// lastNotRecovered when it was last at or above recoveredUtilization.
 	lastUnsaturated, lastNotRecovered time.Time
-	// lastPeak is when the utilization was last at or above saturatedUtilization, in nanoseconds since
-	// 1970, or zero.
-	lastPeak atomic.Int64
+	// lastPeak is when the utilization was last at or above saturatedUtilization, or nil. It keeps the
+	// monotonic reading: after a clock that was set back, the peak would last for as long.
+	lastPeak atomic.Pointer[time.Time]
 }
 
 // linkMeter measures the fraction of the link's bandwidth that is in use in each direction.
@@ -48,7 +48,8 @@
 	in, out := meter.Utilization()
 	utilization := max(in, out)
 	if utilization >= saturatedUtilization {
-		s.lastPeak.Store(now.UnixNano())
+		peak := now // a copy, so that now stays on the stack
+		s.lastPeak.Store(&peak)
 	}
 	if utilization < saturatedUtilization || s.lastUnsaturated.IsZero() {
 		s.lastUnsaturated = now
@@ -68,10 +69,11 @@
 // until the aftermath of its last peak, which is before the daemon is ready again.
 func (s *linkSaturation) load(now time.Time, meter linkMeter) delegator.Load {
 	if in, out := meter.Utilization(); max(in, out) >= saturatedUtilization {
-		s.lastPeak.Store(now.UnixNano())
+		peak := now // a copy, so that now stays on the stack
+		s.lastPeak.Store(&peak)
 	}
 	switch peak := s.lastPeak.Load(); {
-	case peak == 0 || now.UnixNano()-peak >= int64(aftermath):
+	case peak == nil || now.Sub(*peak) >= aftermath:
 		return delegator.Usual
 	case s.saturated.Load():
 		return delegator.Saturated
@@ -94,6 +96,13 @@
 	return load
 }
 
+// suspectUnreachable reports whether a connection that timed out is due to its upstream. While this daemon is
+// overloaded or partitioned from the service, most connections time out. If their upstreams counted as cold, the
+// daemon could send few requests after that.
+func (d *Daemon) suspectUnreachable(service string) bool {
+	return d.ownLoad() == delegator.Usual && d.monitor.Reachable(service)
+}
+
 // admissionLimits returns the limits of the VM.
 func (s Settings) admissionLimits() admitter.Limits {
 	return admitter.Limits{LinkBytesPerSecond: s.LinkBytesPerSecond, Cores: s.Cores, Descriptors: s.Descriptors, Memory: s.MemoryLimit}
--- a/launcher/saturation_test.go
+++ b/launcher/saturation_test.go
@@ -70,3 +70,10 @@
 		require.Equal(t, s.load, saturation.load(now, s.utilization), "step %d", i)
 	}
 }
+
+// Guards against a peak that lasts as long as the clock is set back, in which no partition is found.
+func TestPeakDoesNotDependOnWallClock(t *testing.T) {
+	var saturation linkSaturation
+	saturation.update(time.Now(), constantUtilization(0.8))
+	require.Contains(t, saturation.lastPeak.Load().String(), " m=", "it has a monotonic reading")
+}
--- a/throttler/cold_test.go
+++ b/throttler/cold_test.go
@@ -157,6 +157,21 @@
 	require.False(t, d.IsCold(later.Add(suspicionTime), 1))
 }
 
+// Guards against upstreams that count as cold because this daemon was overloaded or partitioned from all of
+// them, and against one that has restarted in that time and does not.
+func TestTimeoutsOfImpairedDaemonAreIgnored(t *testing.T) {
+	fleet, _ := coldFleet(1, 6.7)
+	d, now, impaired := fleet[0], time.Unix(1000, 0), true
+	d.config.SuspectUnreachable = func(string) bool { return !impaired }
+	d.Record(1, Response{ReceivedAt: now, Unreachable: true})
+	require.False(t, d.IsCold(now, 1))
+	d.Record(1, Response{ReceivedAt: now, Unreachable: true, Refused: true})
+	require.True(t, d.IsCold(now, 1), "its host was reached")
+	impaired = false
+	d.Record(2, Response{ReceivedAt: now, Unreachable: true})
+	require.True(t, d.IsCold(now, 2))
+}
+
 // Guards against shares that add up to too much because daemons know different members: those of a fleet that
 // starts know few others, and one without contact to the store may have been removed by the others.
 func TestUncertainMembersSendNothingToColdUpstreams(t *testing.T) {
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -111,10 +111,10 @@
 	Rejections Rejections
 	// Warmup is what the response says about how much longer the upstream is cold. Address is that of the
 	// upstream. Unreachable is true instead of all else if no connection could be opened, Misdirected if
-	// another upstream has the address.
-	Warmup                   WarmupStatement
-	Address                  netip.AddrPort
-	Unreachable, Misdirected bool
+	// another upstream has the address. Refused is true if the upstream's host refused the connection.
+	Warmup                            WarmupStatement
+	Address                           netip.AddrPort
+	Unreachable, Refused, Misdirected bool
 }
 
 // Config holds what a Throttler needs.
@@ -130,6 +130,10 @@
 	MembersCurrent func(now time.Time) bool
 	// Warmup describes the cold upstreams of a service. Nil means that upstreams are never cold.
 	Warmup func(service string) Warmup
+	// SuspectUnreachable reports whether a connection that timed out shows that an upstream of the service
+	// may have restarted. It does not if the daemon itself is overloaded or reaches no upstream. Nil means
+	// that it always does.
+	SuspectUnreachable func(service string) bool
 	// Changed is called when an upstream has stated another limit than before. Nil means that
 	// nobody needs to know.
 	Changed func()
@@ -182,6 +186,9 @@
 	if c.Warmup == nil {
 		c.Warmup = func(string) Warmup { return Warmup{} }
 	}
+	if c.SuspectUnreachable == nil {
+		c.SuspectUnreachable = func(string) bool { return true }
+	}
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
@@ -198,7 +205,11 @@
 func (t *Throttler) Record(id ID, r Response) {
 	start := Start{ID: id, Upstream: r.Upstream, Service: r.Service, Address: r.Address}
 	if r.Unreachable {
-		t.MarkUnreachable(r.ReceivedAt, start)
+		if r.Refused || t.config.SuspectUnreachable(r.Service) {
+			t.MarkUnreachable(r.ReceivedAt, start)
+		} else {
+			t.config.Recorder.Count("throttler.unreachable_ignored", 1)
+		}
 		return
 	}
 	if !r.Misdirected {
