--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -48,6 +48,9 @@
 	// ReportDistrusted is logged when the slowdowns that an upstream reports begin or cease to
 	// contradict its response times.
 	ReportDistrusted Code = 2012
+	// SecondSendsPaused is logged when second sends of slow requests are stopped for a service, because
+	// it is slow or full as a whole, and when they are resumed.
+	SecondSendsPaused Code = 2013
 	// ServiceReachability is logged when this daemon reaches no upstream of a service any more, or
 	// one again.
 	ServiceReachability Code = 2305
@@ -74,6 +77,9 @@
 	// DelegationFailed is logged when a request cannot be sent to another daemon while this one
 	// reaches no upstream of its service, or when its response is lost.
 	DelegationFailed Code = 2409
+	// SecondSendEnded is logged when one of the two sends of a request has delivered its response and
+	// the other one is cancelled.
+	SecondSendEnded Code = 2410
 	// SoftwareUncertain is logged when software versions that this daemon does not know may have
 	// begun streams of a service: the stored history does not contain the service, is older than a
 	// restore of the store, was lost, or cannot be read.
@@ -109,6 +115,8 @@
 	ServiceReachability: "service_reachability",
 	ServiceBrittle:      "service_brittle",
 	UpstreamSpeed:       "upstream_speed",
+	SecondSendsPaused:   "second_sends_paused",
+	SecondSendEnded:     "second_send_ended",
 	ReportDistrusted:    "report_distrusted",
 	RequestRefused:      "request_refused",
 	AttemptFailed:       "attempt_failed",
