balancer, throttler, retrier: upstreams and budget for second sends

A second send is extra work that nobody needs to be served. Query.Second leaves out upstreams with a limit or a pause, cold, brittle and ejected ones and those without room; its refusal neither counts as one of a caller nor moves the Retry-After of others. A second send takes a retry from the budgets of account and target and leaves one to each, and no reserve.

A request that is cancelled because another upstream has answered first shows that its upstream is slow. Without that, an upstream whose slow requests are all overtaken would not be found slow: Result.Overtaken.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -90,6 +90,9 @@
 	Streamed bool
 	// Exclude holds the upstreams that were already tried for the request.
 	Exclude []registrar.Name
+	// Second is true for a second send of a request that is in flight at an excluded upstream. It gets no
+	// upstream that is restricted or ejected or has no room, and its refusal has no Retry-After.
+	Second bool
 }
 
 // Outcome is how a request ended at an upstream.
@@ -122,6 +125,9 @@
 // Result is the result of a request at an upstream.
 type Result struct {
 	Outcome Outcome
+	// Overtaken is true for an Abandoned request that another upstream has answered first. The time to its
+	// first byte would have been longer than it has waited.
+	Overtaken bool
 }
 
 // Start describes the beginning of an upstream's response.
@@ -190,6 +196,8 @@
 	// MaxPending limits the requests of this daemon that an upstream has not accepted yet. Zero means
 	// no limit, a negative number that this daemon sends it none.
 	MaxPending(now time.Time, service string, upstreams int, id throttler.ID, freeSlots int) int
+	// IsRestricted reports whether an upstream has a limit or a pause, is cold or brittle.
+	IsRestricted(now time.Time, service string, id throttler.ID) bool
 }
 
 // Config holds what a Balancer needs.
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -35,6 +35,9 @@
 	q.Priority = min(max(q.Priority, 0), priorities-1)
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
+		if q.Second {
+			return Choice{}, false
+		}
 		return b.noCandidates(now, &q), false
 	}
 	service := b.service(&q)
@@ -61,7 +64,11 @@
 	} else {
 		best = b.fewestRequests(candidates)
 	}
-	if reason, refused := a.refuse(); refused && !q.Started {
+	reason, refused := a.refuse()
+	if q.Second && (refused || best.full) {
+		return Choice{Reason: reason}, false
+	}
+	if refused && !q.Started {
 		return b.refusal(now, &q, reason, a.firstByte), false
 	}
 	b.config.Limits.Take(now, best.state.limitID)
@@ -137,6 +144,9 @@
 			s = b.state(u)
 			states[i] = s
 		}
+		if q.Second && (!s.ejectedUntil.IsZero() || b.config.Limits.IsRestricted(now, string(u.Service), s.limitID)) {
+			continue
+		}
 		if !b.config.Limits.Allows(now, s.limitID) {
 			continue
 		}
@@ -339,6 +349,14 @@
 	}
 }
 
+// learnOvertaken learns from a request that was cancelled before its first byte, if it has waited for longer than
+// predicted. Otherwise an upstream whose slow requests are all answered by others first would not be found slow.
+func (s *upstreamState) learnOvertaken(now time.Time, service *serviceSpeed, c *Choice) {
+	if waited := now.Sub(c.chosenAt); waited > c.FirstByte {
+		s.speed.learn(now, service.predict(c.work), waited, c.slowdown)
+	}
+}
+
 // endWait removes a request from those whose response has not started.
 func (s *upstreamState) endWait(c *Choice) {
 	s.prefill = max(s.prefill-c.prefill, 0)
@@ -373,6 +391,9 @@
 	if !c.started {
 		s.endWait(c)
 		c.started = true
+		if service := b.services[c.Upstream.Service]; r.Overtaken && service != nil && c.FirstByte > 0 {
+			s.learnOvertaken(now, service, c)
+		}
 	}
 	s.inFlight = max(s.inFlight-1, 0)
 	s.committed = max(s.committed-c.tokens, 0)
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -301,10 +301,44 @@
 	if r.takeFrom(now, targetKey, useReserve) {
 		return true
 	}
-	r.updateBudget(accountKey, func(b *budget) { b.retries = min(b.retries+1, r.config.Burst) })
+	r.giveBack(accountKey)
 	return false
 }
 
+// TakeSecondSend takes one retry from the budgets for a second send of a request that has not failed. It leaves
+// one to each budget, because retries of failed requests are needed more.
+func (r *Retrier) TakeSecondSend(account contractor.Account, target string) bool {
+	accountKey, targetKey := budgetKey{account, target}, budgetKey{"", target}
+	if !r.takeSpare(accountKey) {
+		return false
+	}
+	if r.takeSpare(targetKey) {
+		return true
+	}
+	r.giveBack(accountKey)
+	return false
+}
+
+// ReturnSecondSend gives back what TakeSecondSend has taken for a send that was not made.
+func (r *Retrier) ReturnSecondSend(account contractor.Account, target string) {
+	r.giveBack(budgetKey{account, target})
+	r.giveBack(budgetKey{"", target})
+}
+
+func (r *Retrier) takeSpare(key budgetKey) bool {
+	taken := false
+	r.updateBudget(key, func(b *budget) {
+		if taken = b.retries >= 2; taken {
+			b.retries--
+		}
+	})
+	return taken
+}
+
+func (r *Retrier) giveBack(key budgetKey) {
+	r.updateBudget(key, func(b *budget) { b.retries = min(b.retries+1, r.config.Burst) })
+}
+
 func (r *Retrier) takeFrom(now time.Time, key budgetKey, useReserve bool) bool {
 	taken := false
 	r.updateBudget(key, func(b *budget) { taken = b.take(now, useReserve) })
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -106,3 +106,26 @@
 	require.Equal(t, reserveRetries, used)
 	require.True(t, r.Decide(start, "quiet", "m", 1, time.Time{}, Failure{Phase: NotSent, Overloaded: true}).Retry)
 }
+
+// Guards against second sends that use up the retries of failed requests, or that are lost to the budget when they
+// are not made.
+func TestSecondSendsLeaveARetry(t *testing.T) {
+	r := New(Config{TargetRatio: 1, AccountRatio: 1, Random: func() float64 { return 0 }})
+	failure := Failure{Phase: NoResponse, Repeatable: true}
+	require.False(t, r.TakeSecondSend("loft-7", "draft"), "no reserve for second sends")
+	for range 3 {
+		r.RecordFirstAttempt("loft-7", "draft")
+	}
+	require.True(t, r.TakeSecondSend("loft-7", "draft"))
+	r.ReturnSecondSend("loft-7", "draft")
+	require.True(t, r.TakeSecondSend("loft-7", "draft"))
+	require.True(t, r.TakeSecondSend("loft-7", "draft"))
+	require.False(t, r.TakeSecondSend("loft-7", "draft"))
+	require.True(t, r.Decide(start, "loft-7", "draft", 1, time.Time{}, failure).Retry)
+	require.False(t, r.Decide(start, "loft-7", "draft", 1, time.Time{}, failure).Retry)
+	r.RecordFirstAttempt("other", "draft")
+	r.RecordFirstAttempt("other", "draft")
+	require.True(t, r.TakeSecondSend("other", "draft"))
+	require.False(t, r.TakeSecondSend("other", "draft"), "the account has one left, the target as well")
+	require.True(t, r.Decide(start, "other", "draft", 1, time.Time{}, failure).Retry)
+}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -328,6 +328,21 @@
 	return s == nil || !s.limit.Stated || t.hasShare(now, id, s)
 }
 
+// IsRestricted reports whether an upstream is paused, cold or brittle, or has a limit. Extra requests, which nobody
+// needs to be served, are not sent to such an upstream: they would take a permission away from others.
+func (t *Throttler) IsRestricted(now time.Time, service string, id ID) bool {
+	if t.restricted.Load() == 0 && t.brittleServices.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b, known := t.brittle[service]; known && now.Sub(b.statedAt) <= brittleRetention {
+		return true
+	}
+	s := t.limits[id]
+	return t.isPaused(now, id) || t.coldState(now, id) != nil || s != nil && s.limit.Stated
+}
+
 // recheckInterval is the time without a statement of a limit after which a request should show
 // whether the limit still applies.
 const recheckInterval = 5 * time.Second
