forwarder: second sends of slow requests

With a Hedger, the first attempt of a repeatable request is sent to a second upstream when it has waited for longer than the learned delay. The first valid response, of a stream the first event, is forwarded; the other send is cancelled and counts as an execution and as Abandoned. Each send reads ahead in its own goroutine; only the goroutine of the request touches the exchange and writes to the caller. Without a Hedger the path of a request is the same; the body of attempt moved to conclude.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -36,6 +36,7 @@
 	f := x.forwarder.config
 	target := string(x.service.Name)
 	f.Retries.RecordFirstAttempt(x.accountName(), target)
+	x.beginHedge()
 	for attempt := 1; ; attempt++ {
 		if attempt > 1 && x.unreachable() {
 			return x.finalRefusal(noUpstream()) // Serve delegates the request
@@ -51,13 +52,18 @@
 			}
 			return x.finalRefusal(notChosen(&choice))
 		}
-		failed := x.attempt(ctx, choice)
+		var failed *failure
+		if x.hedge != nil && attempt == 1 {
+			failed = x.hedgedAttempt(ctx, choice)
+			choice.Upstream = x.upstream // that of the second send, if it was the last one
+			attempt += x.hedge.sends - 1
+		} else {
+			failed = x.attempt(ctx, choice)
+		}
 		if failed == nil {
 			return nil
 		}
-		f.Recorder.Event(recorder.AttemptFailed, "id", x.request.ID, "upstream", choice.Upstream.Name,
-			"service", x.service.Name, "attempt", attempt, "phase", failed.Phase, "outcome", failed.outcome,
-			"took", time.Since(now), "left", time.Until(x.deadline), "err", failed.err)
+		x.recordFailedAttempt(choice.Upstream.Name, attempt, now, failed)
 		if ctx.Err() != nil {
 			return x.contextRefusal(ctx, choice)
 		}
@@ -79,6 +85,13 @@
 	}
 }
 
+// recordFailedAttempt logs that an attempt has failed.
+func (x *exchange) recordFailedAttempt(upstream registrar.Name, attempt int, sentAt time.Time, failed *failure) {
+	x.forwarder.config.Recorder.Event(recorder.AttemptFailed, "id", x.request.ID, "upstream", upstream,
+		"service", x.service.Name, "attempt", attempt, "phase", failed.Phase, "outcome", failed.outcome,
+		"took", time.Since(sentAt), "left", time.Until(x.deadline), "err", failed.err)
+}
+
 // noUpstream returns the refusal of a request whose service this daemon does not reach.
 func noUpstream() *refuser.Refusal {
 	return refuser.New(refuser.NoUpstream, "choose").WithRetryAfter(unavailableRetryAfter)
@@ -153,33 +166,42 @@
 	}
 }
 
+// sent is a send of the request with its response or its error.
+type sent struct {
+	choice             balancer.Choice
+	sentAt, receivedAt time.Time
+	response           *connector.Response
+	err                error
+}
+
 // attempt sends the request to one upstream. It returns nil when the response was
 // forwarded to the caller.
 func (x *exchange) attempt(ctx context.Context, choice balancer.Choice) *failure {
-	f := x.forwarder.config
+	sentAt := time.Now()
+	response, err := x.forwarder.config.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
+	return x.conclude(ctx, &sent{choice: choice, sentAt: sentAt, receivedAt: time.Now(), response: response, err: err})
+}
+
+// conclude forwards the response of a send to the caller and returns nil, or returns why it does not complete
+// the request.
+func (x *exchange) conclude(ctx context.Context, s *sent) *failure {
+	f, choice := x.forwarder.config, &s.choice
 	result := balancer.Result{Outcome: balancer.Served}
 	eventsBefore := x.eventCount
 	x.firstOutput, x.served = time.Time{}, false
 	x.upstream, x.attemptEvents, x.continued = choice.Upstream, 0, false
 	x.permitUpstream = choice.Upstream.Name
-	sentAt := time.Now()
-	response, err := f.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
 	var failed *failure
-	if err != nil {
-		failed = x.sendFailure(err)
+	if s.err != nil {
+		failed = x.sendFailure(s.err)
 		if failed.outcome == balancer.Unreachable && ctx.Err() == nil {
-			x.recordUnreachable(&choice.Upstream, sentAt)
+			x.recordUnreachable(&choice.Upstream, s.sentAt)
 		}
 	} else {
-		x.recordLimit(&choice.Upstream, sentAt, response)
-		if response.Metadata.Leaving {
-			f.Upstreams.MarkLeaving(&choice.Upstream)
-		}
-		f.Balancer.ResponseStarted(time.Now(), &choice, balancer.Start{
-			Load: response.Metadata.Load, FirstByte: !response.Metadata.NotRun && x.isStream(response),
-		})
-		failed = x.handleResponse(response)
-		response.Close()
+		x.forwarder.recordHeader(s, x.sends > 0)
+		f.Balancer.ResponseStarted(s.receivedAt, choice, x.start(s.response))
+		failed = x.handleResponse(s.response)
+		s.response.Close()
 	}
 	if failed != nil {
 		if (failed.connectionLost || failed.outcome == balancer.Unreachable) && ctx.Err() == nil && f.Reachability != nil {
@@ -196,14 +218,24 @@
 	if failed != nil && failed.Phase == retrier.NotSent {
 		x.permitUpstream = ""
 	}
-	f.Balancer.End(time.Now(), &choice, result)
+	if f.Hedger != nil && result.Outcome == balancer.Full {
+		f.Hedger.RecordRejected(time.Now(), x.service.Name)
+	}
+	f.Balancer.End(time.Now(), choice, result)
 	return failed
 }
 
-// recordLimit records which requests the upstream of a response still accepts.
-func (x *exchange) recordLimit(u *registrar.Upstream, sentAt time.Time, response *connector.Response) {
+// start describes the beginning of a response for the balancer.
+func (x *exchange) start(response *connector.Response) balancer.Start {
+	return balancer.Start{Load: response.Metadata.Load, FirstByte: !response.Metadata.NotRun && isStream(response)}
+}
+
+// recordHeader records which requests the upstream of a response still accepts. retry is true if it was not the
+// first send of the request.
+func (f *Forwarder) recordHeader(s *sent, retry bool) {
+	u, response := &s.choice.Upstream, s.response
 	r := throttler.Response{
-		Upstream: string(u.Name), SentAt: sentAt, ReceivedAt: time.Now(), Retry: x.sends > 0, Limit: response.Metadata.RequestLimit,
+		Upstream: string(u.Name), SentAt: s.sentAt, ReceivedAt: s.receivedAt, Retry: retry, Limit: response.Metadata.RequestLimit,
 	}
 	r.Service, r.Rejections = string(u.Service), response.Metadata.Rejections
 	r.Address, r.Warmup, r.Misdirected = u.Address, response.Metadata.Warmup, response.Status == http.StatusMisdirectedRequest
@@ -211,7 +243,10 @@
 		r.Rejected = response.Metadata.NotRun
 		r.Pause = response.Metadata.RetryAfter
 	}
-	x.forwarder.config.Limits.Record(u.LimitID(), r)
+	f.config.Limits.Record(u.LimitID(), r)
+	if response.Metadata.Leaving {
+		f.config.Upstreams.MarkLeaving(u)
+	}
 }
 
 // recordUnreachable records that an upstream accepts no connection. It may be cold when it does again.
@@ -279,7 +314,7 @@
 		return x.responseFailure(errUnsigned)
 	}
 	x.executions++
-	if x.isStream(response) {
+	if isStream(response) {
 		return x.forwardStream(response)
 	}
 	if x.responseStarted {
@@ -338,7 +373,7 @@
 
 // isStream reports whether a response is an event stream, which is forwarded event by
 // event.
-func (x *exchange) isStream(response *connector.Response) bool {
+func isStream(response *connector.Response) bool {
 	if response.Status != http.StatusOK {
 		return false
 	}
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -98,7 +98,7 @@
 		Status: from.StatusCode, Header: from.Header, Length: from.ContentLength, Framing: framer.Of(from), Body: from.Body,
 	}
 	var failed *failure
-	if x.isStream(response) {
+	if isStream(response) {
 		x.executions++
 		failed = x.forwardStream(response)
 	} else {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -66,6 +66,8 @@
 	attemptEvents int64
 	// continued is true once these follow events of an earlier attempt.
 	continued bool
+	// hedge is set if the first attempt may be sent to a second upstream.
+	hedge *hedge
 	// serverErrorResponse is the last signed 5xx response of an upstream. It is forwarded
 	// if no other attempt succeeds.
 	serverErrorResponse *bufferedResponse
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"laburnumline/connector"
 	"laburnumline/contractor"
 	"laburnumline/delegator"
+	"laburnumline/hedger"
 	"laburnumline/pinner"
 	"laburnumline/recorder"
 	"laburnumline/refuser"
@@ -132,6 +133,9 @@
 type Retries interface {
 	RecordFirstAttempt(account contractor.Account, target string)
 	Decide(now time.Time, account contractor.Account, target string, attempt int, deadline time.Time, f retrier.Failure) retrier.Decision
+	// TakeSecondSend takes a second send of a request in flight from the budget, ReturnSecondSend gives it back.
+	TakeSecondSend(account contractor.Account, target string) bool
+	ReturnSecondSend(account contractor.Account, target string)
 }
 
 // Reachability knows which services this daemon reaches.
@@ -168,6 +172,8 @@
 	Retries    Retries
 	Quarantine Quarantine
 	Permits    Permits
+	// Hedger may be nil, in which case no request in flight is sent to a second upstream.
+	Hedger *hedger.Hedger
 	// Admission may be nil, in which case all requests are admitted.
 	Admission Admission
 	// Reachability and Delegate may be nil, in which case the daemon sends all requests itself.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -119,7 +119,7 @@
 
 var eventStreamHeader = http.Header{"Content-Type": {"text/event-stream"}, "Signature": {"first"}}
 
-func newFakeUpstreams(t *testing.T, responses ...fakeResponse) *fakeUpstreams {
+func newFakeUpstreams(t testing.TB, responses ...fakeResponse) *fakeUpstreams {
 	t.Helper()
 	split := []resolver.WeightedService{{Service: "drafts", Weight: 1}}
 	table, err := resolver.NewTable(resolver.Document{
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -29,7 +29,7 @@
 }
 
 func readResponse(response *connector.Response) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := readBody(response.Body)
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
@@ -42,6 +42,14 @@
 	return &bufferedResponse{status: response.Status, header: response.Header, body: body}, nil
 }
 
+// readBody reads a body up to one byte beyond maxResponseBytes.
+func readBody(body io.Reader) ([]byte, error) {
+	if b, ok := body.(*bufferedBody); ok {
+		return b.data, nil
+	}
+	return io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+}
+
 // drain reads the rest of a response that is not forwarded, so that its connection can
 // be reused. The connection is closed if the rest exceeds streamBufferBytes.
 func drain(response *connector.Response) {
