--- a/cmd/laburnumline/launch.go
+++ b/cmd/laburnumline/launch.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"laburnumline/connector"
+	"laburnumline/hedger"
 	"laburnumline/launcher"
 	"laburnumline/platform"
 	"laburnumline/recorder"
@@ -50,9 +51,25 @@
 	noopCommander
 	Settings string `long:"settings" description:"settings file of the platform; the default is the file that the environment names"`
 	Metrics  uint16 `long:"metrics" default:"0" description:"port of the counters; 0 for none"`
+	// The defaults are those of package hedger.
+	HedgeShare    float64 `long:"hedge-share" env:"LABURNUMLINE_HEDGE_SHARE" default:"0" description:"share of requests and prompt tokens that may be sent to a second upstream when they are slow, at most 0.2; 0 for none"`
+	HedgeQuantile float64 `long:"hedge-quantile" env:"LABURNUMLINE_HEDGE_QUANTILE" default:"0.95" description:"quantile of the time to first byte after which a request is slow, above 0.5 and below 1"`
+}
+
+func (cmd *launchCommand) checkHedging() error {
+	if !hedger.ShareValid(cmd.HedgeShare) {
+		return usageErrorf("--hedge-share (LABURNUMLINE_HEDGE_SHARE) is %v, allowed: 0 to %v", cmd.HedgeShare, hedger.MaxShare)
+	}
+	if !hedger.QuantileValid(cmd.HedgeQuantile) {
+		return usageErrorf("--hedge-quantile (LABURNUMLINE_HEDGE_QUANTILE) is %v, allowed: above 0.5 and below 1", cmd.HedgeQuantile)
+	}
+	return nil
 }
 
 func (cmd *launchCommand) run(e *environment) error {
+	if err := cmd.checkHedging(); err != nil {
+		return err
+	}
 	path := cmd.Settings
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
@@ -75,7 +92,7 @@
 		CallTimeout: storeCallTimeout, PollTimeout: randomPollTimeout,
 		Restored: func(from, to int64) { rec.Event(recorder.StoreRestored, "from", from, "era", to) },
 	})
-	config := launcher.Config{Settings: settings, Adapter: platform.Adapter(store), Recorder: rec}
+	config := launcher.Config{Settings: settings, Adapter: platform.Adapter(store), Recorder: rec, HedgeShare: cmd.HedgeShare, HedgeQuantile: cmd.HedgeQuantile}
 	if cmd.Metrics > 0 {
 		config.MetricsAddress = netip.AddrPortFrom(settings.FrontendAddress.Addr(), cmd.Metrics)
 	}
--- a/cmd/laburnumline/launch_test.go
+++ b/cmd/laburnumline/launch_test.go
@@ -27,3 +27,32 @@
 		}
 	}
 }
+
+// Guards against a deploy file whose wrong setting is ignored, or whose error does not name it.
+func TestWrongHedgeSettingsAreNamed(t *testing.T) {
+	tests := []struct{ variable, value, option string }{
+		{"LABURNUMLINE_HEDGE_SHARE", "0.21", "hedge-share"},
+		{"LABURNUMLINE_HEDGE_SHARE", "-0.01", "hedge-share"},
+		{"LABURNUMLINE_HEDGE_SHARE", "NaN", "hedge-share"},
+		{"LABURNUMLINE_HEDGE_SHARE", "much", "hedge-share"},
+		{"LABURNUMLINE_HEDGE_QUANTILE", "0.5", "hedge-quantile"},
+		{"LABURNUMLINE_HEDGE_QUANTILE", "1", "hedge-quantile"},
+	}
+	for _, test := range tests {
+		for _, byEnvironment := range []bool{true, false} {
+			args := []string{"launch", "--settings", "absent.toml"}
+			if byEnvironment {
+				t.Setenv(test.variable, test.value)
+			} else {
+				t.Setenv(test.variable, "0.1")
+				args = append(args, "--"+test.option+"="+test.value)
+			}
+			r := runCommand(t, "", args...)
+			require.Equal(t, exitUsage, r.code, r.stderr)
+			require.Contains(t, r.stderr, test.option)
+		}
+		t.Setenv("LABURNUMLINE_HEDGE_SHARE", "0.02")
+		t.Setenv("LABURNUMLINE_HEDGE_QUANTILE", "0.99")
+		require.Contains(t, runCommand(t, "", "launch", "--settings", "absent.toml").stderr, "absent.toml", "valid settings")
+	}
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -41,6 +41,7 @@
 	"laburnumline/evacuator"
 	"laburnumline/forwarder"
 	"laburnumline/gauger"
+	"laburnumline/hedger"
 	"laburnumline/persister"
 	"laburnumline/pinner"
 	"laburnumline/quarantiner"
@@ -116,6 +117,9 @@
 	Listen func(address netip.AddrPort) (net.Listener, error)
 	// DialUpstream opens connections to upstreams. Nil means connector.Dialer.
 	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
+	// HedgeShare and HedgeQuantile set the second sends of slow requests (package hedger). A share of zero
+	// means that there are none.
+	HedgeShare, HedgeQuantile float64
 	// MetricsAddress serves the metrics. The zero value disables them.
 	MetricsAddress netip.AddrPort
 	Recorder       *recorder.Recorder
@@ -255,6 +259,7 @@
 		Probe:   func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 	})
 	d.forwarder = forwarder.New(forwarder.Config{
+		Hedger:    hedger.New(hedger.Config{Share: c.HedgeShare, Quantile: c.HedgeQuantile, Recorder: rec}),
 		Admission: d.admitter, Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
