forwarder: no additional memory per request without second sends

The struct of a send raised the allocation of each request from 3,424 to 3,504 B. The choice and the reply are passed apart, so that the benchmark gives 3,424 B in 31 allocations as before second sends.

All tests of forwarder pass with -race.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -166,9 +166,8 @@
 	}
 }
 
-// sent is a send of the request with its response or its error.
-type sent struct {
-	choice             balancer.Choice
+// reply is the response or the error of a send.
+type reply struct {
 	sentAt, receivedAt time.Time
 	response           *connector.Response
 	err                error
@@ -177,31 +176,32 @@
 // attempt sends the request to one upstream. It returns nil when the response was
 // forwarded to the caller.
 func (x *exchange) attempt(ctx context.Context, choice balancer.Choice) *failure {
-	sentAt := time.Now()
-	response, err := x.forwarder.config.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
-	return x.conclude(ctx, &sent{choice: choice, sentAt: sentAt, receivedAt: time.Now(), response: response, err: err})
+	r := reply{sentAt: time.Now()}
+	r.response, r.err = x.forwarder.config.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
+	r.receivedAt = time.Now()
+	return x.conclude(ctx, &choice, r)
 }
 
 // conclude forwards the response of a send to the caller and returns nil, or returns why it does not complete
 // the request.
-func (x *exchange) conclude(ctx context.Context, s *sent) *failure {
-	f, choice := x.forwarder.config, &s.choice
+func (x *exchange) conclude(ctx context.Context, choice *balancer.Choice, r reply) *failure {
+	f := x.forwarder.config
 	result := balancer.Result{Outcome: balancer.Served}
 	eventsBefore := x.eventCount
 	x.firstOutput, x.served = time.Time{}, false
 	x.upstream, x.attemptEvents, x.continued = choice.Upstream, 0, false
 	x.permitUpstream = choice.Upstream.Name
 	var failed *failure
-	if s.err != nil {
-		failed = x.sendFailure(s.err)
+	if r.err != nil {
+		failed = x.sendFailure(r.err)
 		if failed.outcome == balancer.Unreachable && ctx.Err() == nil {
-			x.recordUnreachable(&choice.Upstream, s.sentAt)
+			x.recordUnreachable(&choice.Upstream, r.sentAt)
 		}
 	} else {
-		x.forwarder.recordHeader(s, x.sends > 0)
-		f.Balancer.ResponseStarted(s.receivedAt, choice, x.start(s.response))
-		failed = x.handleResponse(s.response)
-		s.response.Close()
+		x.forwarder.recordHeader(&choice.Upstream, r, x.sends > 0)
+		f.Balancer.ResponseStarted(r.receivedAt, choice, startOf(r.response))
+		failed = x.handleResponse(r.response)
+		r.response.Close()
 	}
 	if failed != nil {
 		if (failed.connectionLost || failed.outcome == balancer.Unreachable) && ctx.Err() == nil && f.Reachability != nil {
@@ -225,17 +225,17 @@
 	return failed
 }
 
-// start describes the beginning of a response for the balancer.
-func (x *exchange) start(response *connector.Response) balancer.Start {
+// startOf describes the beginning of a response for the balancer.
+func startOf(response *connector.Response) balancer.Start {
 	return balancer.Start{Load: response.Metadata.Load, FirstByte: !response.Metadata.NotRun && isStream(response)}
 }
 
 // recordHeader records which requests the upstream of a response still accepts. retry is true if it was not the
 // first send of the request.
-func (f *Forwarder) recordHeader(s *sent, retry bool) {
-	u, response := &s.choice.Upstream, s.response
+func (f *Forwarder) recordHeader(u *registrar.Upstream, p reply, retry bool) {
+	response := p.response
 	r := throttler.Response{
-		Upstream: string(u.Name), SentAt: s.sentAt, ReceivedAt: s.receivedAt, Retry: retry, Limit: response.Metadata.RequestLimit,
+		Upstream: string(u.Name), SentAt: p.sentAt, ReceivedAt: p.receivedAt, Retry: retry, Limit: response.Metadata.RequestLimit,
 	}
 	r.Service, r.Rejections = string(u.Service), response.Metadata.Rejections
 	r.Address, r.Warmup, r.Misdirected = u.Address, response.Metadata.Warmup, response.Status == http.StatusMisdirectedRequest
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -34,7 +34,8 @@
 // hedgedSend is one of the sends of an attempt. Until it arrives on the channel of results, its goroutine owns all
 // fields but choice, sentAt and cancel.
 type hedgedSend struct {
-	sent
+	reply
+	choice balancer.Choice
 	cancel context.CancelFunc
 	second bool
 	// valid is true if the response can be forwarded: a stream that has begun with an event, or another complete
@@ -89,7 +90,7 @@
 					x.endLoser(ctx, s, loser, results)
 				}
 			}
-			failed := x.conclude(ctx, &s.sent)
+			failed := x.conclude(ctx, &s.choice, s.reply)
 			s.cancel()
 			if failed == nil || s.valid || len(pending) == 0 {
 				return failed
@@ -102,7 +103,7 @@
 // startSend sends the request in a goroutine, which reads the response until it is known to be valid.
 func (x *exchange) startSend(ctx context.Context, choice balancer.Choice, second bool, results chan<- *hedgedSend) *hedgedSend {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &hedgedSend{sent: sent{choice: choice, sentAt: time.Now()}, cancel: cancel, second: second}
+	s := &hedgedSend{reply: reply{sentAt: time.Now()}, choice: choice, cancel: cancel, second: second}
 	call, sender := x.upstreamCall(choice), x.forwarder.config.Sender
 	go func() {
 		s.response, s.err = sender.Send(ctx, choice.Upstream.Address, call)
@@ -193,12 +194,12 @@
 	select {
 	case <-results: // it has ended as well
 		if !loser.valid {
-			x.recordFailedSend(loser, x.conclude(ctx, &loser.sent))
+			x.recordFailedSend(loser, x.conclude(ctx, &loser.choice, loser.reply))
 			loser.cancel()
 			return
 		}
-		x.forwarder.recordHeader(&loser.sent, true)
-		f.Balancer.ResponseStarted(loser.receivedAt, &loser.choice, x.start(loser.response))
+		x.forwarder.recordHeader(&loser.choice.Upstream, loser.reply, true)
+		f.Balancer.ResponseStarted(loser.receivedAt, &loser.choice, startOf(loser.response))
 		loser.cancel()
 		loser.response.Close()
 	default:
@@ -217,7 +218,7 @@
 func (f *Forwarder) discard(results <-chan *hedgedSend) {
 	s := <-results
 	if s.response != nil {
-		f.recordHeader(&s.sent, true)
+		f.recordHeader(&s.choice.Upstream, s.reply, true)
 		s.response.Close()
 	}
 }
