balancer, throttler, apportioner, quarantiner: explain a decision without effects

Operators cannot ask a daemon why it leaves out an upstream. The quarantine and the shares of balances have variants that only read.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -128,7 +128,7 @@
 // requestTransfer requests tokens from other daemons, with the lock released. It does nothing if
 // the unspent balance of the account does not cover the request.
 func (a *Apportioner) requestTransfer(ctx context.Context, name contractor.Account, maxCost contractor.Tokens) {
-	if a.config.RequestTransfer == nil || !a.state.joined || a.prepaid[name]-a.state.pool.sums(name).Spent < maxCost {
+	if !a.mayTransfer(name, maxCost) {
 		return
 	}
 	a.mu.Unlock()
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -196,6 +196,8 @@
 	// MaxPending limits the requests of this daemon that an upstream has not accepted yet. Zero means
 	// no limit, a negative number that this daemon sends it none.
 	MaxPending(now time.Time, service string, upstreams int, id throttler.ID, freeSlots int) int
+	// Snapshot returns a copy, for Explain.
+	Snapshot() *throttler.Throttler
 }
 
 // Config holds what a Balancer needs.
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -27,17 +27,56 @@
 	staleLimit bool
 }
 
+// decision is what Choose decides before it counts the request at an upstream.
+type decision struct {
+	// candidates is valid until the next decision.
+	candidates []candidate
+	// best is nil if there is no candidate.
+	best       *candidate
+	prediction prediction
+	service    *serviceSpeed
+	admission  admission
+	// reason is set if the request is refused.
+	reason  Reason
+	refused bool
+}
+
 // Choose returns the upstream for a request and counts the request there until End. It
 // reports false if the request is refused; the choice then has the reason and a Retry-After.
 func (b *Balancer) Choose(now time.Time, q Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q.Priority = min(max(q.Priority, 0), priorities-1)
+	d := b.decide(now, &q)
+	if d.best == nil {
+		return b.noCandidates(now, &q), false
+	}
+	if d.refused {
+		return b.refusal(now, &q, d.reason, d.admission.firstByte), false
+	}
+	best, p := d.best, d.prediction
+	b.config.Limits.Take(now, best.state.limitID)
+	if q.Engine {
+		d.service.mix.add(q.Priority, q.Tokens)
+		d.service.recordTokens(q.Tokens + q.MaxOutput)
+	}
+	b.lastID++
+	c := Choice{
+		Upstream: *best.upstream, FirstByte: p.firstByte, id: b.lastID, chosenAt: now, work: p.work,
+		slowdown: best.state.speed.slowdown(now), prefill: p.prefill, priority: q.Priority, tokens: q.Tokens + q.MaxOutput,
+	}
+	b.begin(now, best.state, &q, &c)
+	return c, true
+}
+
+// decide selects the upstream, or decides that the request is refused. It records the demand of the account,
+// counts, and prunes what has expired; Explain calls it for a copy. The lock is held.
+func (b *Balancer) decide(now time.Time, q *Query) decision {
 	candidates := b.candidates(now, q)
 	if len(candidates) == 0 {
-		return b.noCandidates(now, &q), false
+		return decision{}
 	}
-	service := b.service(&q)
+	service := b.service(q)
 	if len(q.Exclude) == 0 { // a retry is not another demand
 		service.demand.add(now, q.Account, q.Tokens+q.MaxOutput+1)
 	}
@@ -47,38 +86,26 @@
 			break
 		}
 	}
-	a := admission{
+	d := decision{candidates: candidates, service: service}
+	d.admission = admission{
 		timeLeft: q.TimeLeft, reliable: service.reliable(now), upstreams: len(candidates),
 		busy: true, random: b.config.Random(),
 	}
+	a := &d.admission
 	if !now.After(service.fullUntil) {
 		a.full = countFull(now, candidates)
 	}
 	if len(q.Exclude) == 0 { // a retry was admitted before
 		a.excess = service.demand.excess(now, q.Account)
 	}
-	var best *candidate
-	var p prediction
 	if q.Engine {
-		best, p = b.lowestCost(now, candidates, &q, service, &a)
+		d.best, d.prediction = b.lowestCost(now, candidates, q, service, a)
 	} else {
-		best = b.fewestRequests(candidates)
-	}
-	if reason, refused := a.refuse(); refused && !q.Started {
-		return b.refusal(now, &q, reason, a.firstByte), false
-	}
-	b.config.Limits.Take(now, best.state.limitID)
-	if q.Engine {
-		service.mix.add(q.Priority, q.Tokens)
-		service.recordTokens(q.Tokens + q.MaxOutput)
-	}
-	b.lastID++
-	c := Choice{
-		Upstream: *best.upstream, FirstByte: p.firstByte, id: b.lastID, chosenAt: now, work: p.work,
-		slowdown: best.state.speed.slowdown(now), prefill: p.prefill, priority: q.Priority, tokens: q.Tokens + q.MaxOutput,
+		d.best = b.fewestRequests(candidates)
 	}
-	b.begin(now, best.state, &q, &c)
-	return c, true
+	d.reason, d.refused = a.refuse()
+	d.refused = d.refused && !q.Started
+	return d
 }
 
 // begin counts a request at an upstream.
@@ -124,7 +151,7 @@
 // candidates returns the upstreams that may be chosen. Those whose request limits or pauses forbid
 // it are left out. Ejected ones are included only if there are no others, or if more than half of
 // more than three upstreams are ejected.
-func (b *Balancer) candidates(now time.Time, q Query) []candidate {
+func (b *Balancer) candidates(now time.Time, q *Query) []candidate {
 	if len(q.Candidates) == 0 {
 		return nil
 	}
@@ -132,28 +159,21 @@
 	states := b.statesOf(q.Candidates)
 	for i := range q.Candidates {
 		u := &q.Candidates[i]
-		if slices.Contains(q.Exclude, u.Name) {
-			continue
-		}
 		s := states[i]
 		if s.startedAtMs != u.StartedAtMs {
 			s = b.state(u)
 			states[i] = s
 		}
-		if !b.config.Limits.Allows(now, s.limitID) {
+		available = append(available, candidate{upstream: u, state: s})
+		last := len(available) - 1
+		exclusion := b.assess(now, q, &available[last])
+		if exclusion == NotExcluded {
 			continue
 		}
-		othersPrefill, othersInFlight := s.othersLoad(now)
-		requests := max(float64(s.inFlight+othersInFlight), float64(s.reported.requests(now)))
-		freeSlots := max(u.Slots-int(requests), 0)
-		if limit := b.config.Limits.MaxPending(now, string(u.Service), len(q.Candidates), s.limitID, freeSlots); limit != 0 && (s.pending >= limit || requests >= float64(u.Slots)) {
-			continue
+		if exclusion == Ejected {
+			ejected = append(ejected, available[last])
 		}
-		if s.isEjected(now) {
-			ejected = append(ejected, candidate{upstream: u, state: s, requests: requests, othersPrefill: othersPrefill})
-			continue
-		}
-		available = append(available, candidate{upstream: u, state: s, requests: requests, othersPrefill: othersPrefill, staleLimit: b.config.Limits.IsStale(now, s.limitID)})
+		available = available[:last]
 	}
 	b.available, b.ejected = available, ejected // keep what append has allocated
 	if len(ejected) > len(available) && len(q.Candidates) > 3 {
@@ -165,6 +185,34 @@
 	return available
 }
 
+// assess sets the load of a candidate, and reports why it is left out. One that is ejected may still be needed.
+func (b *Balancer) assess(now time.Time, q *Query, c *candidate) Exclusion {
+	u, s := c.upstream, c.state
+	if slices.Contains(q.Exclude, u.Name) {
+		return Tried
+	}
+	if !b.config.Limits.Allows(now, s.limitID) {
+		return OverLimit
+	}
+	c.setLoad(now)
+	freeSlots := max(u.Slots-int(c.requests), 0)
+	if limit := b.config.Limits.MaxPending(now, string(u.Service), len(q.Candidates), s.limitID, freeSlots); limit != 0 && (s.pending >= limit || c.requests >= float64(u.Slots)) {
+		return Brittle
+	}
+	if s.isEjected(now) {
+		return Ejected
+	}
+	c.staleLimit = b.config.Limits.IsStale(now, s.limitID)
+	return NotExcluded
+}
+
+// setLoad sets the requests at the upstream and the prefill time of other daemons.
+func (c *candidate) setLoad(now time.Time) {
+	s := c.state
+	othersPrefill, othersInFlight := s.othersLoad(now)
+	c.othersPrefill, c.requests = othersPrefill, max(float64(s.inFlight+othersInFlight), float64(s.reported.requests(now)))
+}
+
 // limitIDs returns the IDs of the request limits of all candidates of a query.
 func (b *Balancer) limitIDs(q Query) iter.Seq[throttler.ID] {
 	return func(yield func(throttler.ID) bool) {
@@ -233,10 +281,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		s := c.state
-		c.ahead = time.Duration(asUrgent * float64(c.othersPrefill))
-		if s.prefill > 0 {
-			c.ahead += s.prefillBy.upTo(q.Priority)
-		}
+		c.setAhead(q, asUrgent)
 		if c.requests == 0 {
 			a.busy = false
 		}
@@ -257,9 +302,18 @@
 		}
 	}
 	b.countExceeded(exceeded, len(candidates))
+	a.preferred = preferred
 	return preferred, full
 }
 
+// setAhead sets the prefill time of the requests that are processed before the request.
+func (c *candidate) setAhead(q *Query, asUrgent float64) {
+	c.ahead = time.Duration(asUrgent * float64(c.othersPrefill))
+	if c.state.prefill > 0 {
+		c.ahead += c.state.prefillBy.upTo(q.Priority)
+	}
+}
+
 // countExceeded counts a choice in which the request did not fit into the memory of some upstreams.
 func (b *Balancer) countExceeded(exceeded, all int) {
 	switch {
@@ -304,17 +358,21 @@
 	best, cost := &candidates[0], 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		requests := c.requests
-		if c.upstream.Zone != b.config.Zone {
-			requests += crossZonePenalty
-		}
-		if i == 0 || requests < cost {
+		if requests := b.plainCost(c); i == 0 || requests < cost {
 			best, cost = c, requests
 		}
 	}
 	return best
 }
 
+// plainCost returns the number of requests at an upstream, including the penalty for another zone.
+func (b *Balancer) plainCost(c *candidate) float64 {
+	if c.upstream.Zone != b.config.Zone {
+		return c.requests + crossZonePenalty
+	}
+	return c.requests
+}
+
 // ResponseStarted records that the response has started, which means that prefill is
 // complete.
 func (b *Balancer) ResponseStarted(now time.Time, c *Choice, r Start) {
--- a/balancer/refuse.go
+++ b/balancer/refuse.go
@@ -98,6 +98,8 @@
 	reliable  bool
 	// full is the number of upstreams that have just rejected requests, upstreams that of all.
 	full, upstreams int
+	// preferred is the index of the preferred upstream.
+	preferred int
 	// excess is the fraction of the account's demand beyond its share, random from 0 to below 1.
 	excess, random float64
 }
@@ -111,8 +113,18 @@
 	case late && float64(a.firstByte) > lateFraction*float64(a.timeLeft):
 		return TooLate, true
 	}
+	return OverShare, a.random < a.overShare()
+}
+
+// overShare returns the probability of a refusal because upstreams are congested and the account asks for
+// more than its share.
+func (a *admission) overShare() float64 {
+	late := a.reliable && a.busy && a.timeLeft > 0
 	congested := late && float64(a.firstByte) > congestedTime*float64(a.timeLeft) || float64(a.full) >= congestedFull*float64(a.upstreams)
-	return OverShare, congested && a.random < a.excess
+	if !congested || a.upstreams == 0 {
+		return 0
+	}
+	return a.excess
 }
 
 // waitForRoom returns the time until there is room for the request and for those that have been
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -89,6 +89,21 @@
 	return worst, verdict
 }
 
+// PeekParts returns what CheckParts would return, and announces nothing.
+func (q *Quarantiner) PeekParts(now time.Time, parts []Digest) (Digest, Verdict) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	worst, verdict := Digest{}, Clear
+	for _, d := range parts {
+		if r, ok := q.records[d]; ok {
+			if v := q.verdict(now, &r); v > verdict {
+				worst, verdict = d, v
+			}
+		}
+	}
+	return worst, verdict
+}
+
 // checkPart returns the verdict on a part. The daemon that quarantines a part first announces it.
 func (q *Quarantiner) checkPart(now time.Time, d Digest) Verdict {
 	q.mu.Lock()
