forwarder, launcher: explain what a daemon would do with a request

Adds GET /explain to the metrics address of launched daemons, for callers on the same VM, and the command laburnumline explain. The key is sent in a header and is in no output. prepare is split, so that the explanation uses the same resolution of route, account and service.

--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -61,7 +61,7 @@
 	JustFull      Exclusion = "full"           // it has just rejected a request
 	OutOfMemory   Exclusion = "memory"         // the request may exceed its memory
 	LimitRecheck  Exclusion = "limit recheck"  // the request tests another upstream with an old limit
-	OutsideFleet  Exclusion = "evacuated zone" // its zone is evacuated; set by package forwarder
+	EvacuatedZone Exclusion = "evacuated zone" // its zone is evacuated; set by package forwarder
 	OutsideHome   Exclusion = "home"           // its region is not permitted; set by package forwarder
 	OtherSoftware Exclusion = "software"       // its version is excluded; set by package forwarder
 )
--- a/cmd/laburnumline/parse.go
+++ b/cmd/laburnumline/parse.go
@@ -67,6 +67,7 @@
 	return []commandSpec{
 		{"serve", "run a daemon", "Runs a daemon until SIGINT or SIGTERM, which start the planned stop.", &serveCommand{}, nil},
 		{"launch", "run a daemon on the users' platform", "Runs a daemon that keeps everything in the platform's store, until SIGINT or SIGTERM.", &launchCommand{}, nil},
+		{"explain", "show what a daemon would do with a request now", "Asks a daemon that launch has started, at its metrics address. Nothing is sent to upstreams, reserved or counted.", &explainCommand{}, nil},
 		{"soak", "run daemons under random faults", "Runs daemons as processes against stand-ins, with faults that are drawn from seeds, and reports promises that were broken.", &soakCommand{}, nil},
 		{"demo", "show the promises under failure", "Starts three daemons and stand-ins on loopback addresses, kills, cuts, tops up and retires, and checks what callers got against the bill.", &demoCommand{}, nil},
 		{"check", "check a settings file", "Names every wrong setting with file and line.", &checkCommand{}, nil},
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -27,12 +27,14 @@
 	request   *Request
 	writer    http.ResponseWriter
 
-	version  int64
-	route    *resolver.Route
-	account  *resolver.Account
-	service  *resolver.Service
-	body     []byte
-	deadline time.Time
+	version int64
+	// bodyLimit is the maximum length of the body according to the configuration.
+	bodyLimit int64
+	route     *resolver.Route
+	account   *resolver.Account
+	service   *resolver.Service
+	body      []byte
+	deadline  time.Time
 
 	// admitted is what the request occupies of the daemon, or nil.
 	admitted    *admitter.Request
@@ -87,12 +89,27 @@
 
 // prepare finds the route, client account and service, and reads the body if the daemon is not overloaded.
 func (x *exchange) prepare(ctx context.Context) *refuser.Refusal {
+	if refusal := x.resolve(); refusal != nil {
+		return refusal
+	}
+	if refusal := x.admit(); refusal != nil {
+		return refusal
+	}
+	refusal := x.readBody(ctx, x.bodyLimit)
+	if x.admitted != nil {
+		x.forwarder.config.Admission.BodyRead(time.Now(), x.admitted)
+	}
+	return refusal
+}
+
+// resolve finds the route, client account and service, and refuses a request that no upstream may run.
+func (x *exchange) resolve() *refuser.Refusal {
 	r := x.request
 	table := x.forwarder.config.Tables.Table()
 	if table == nil {
 		return refuser.New(refuser.ContractUnavailable, "route").WithRetryAfter(unavailableRetryAfter).WithDetail("no configuration is known yet")
 	}
-	x.version = table.Version()
+	x.version, x.bodyLimit = table.Version(), table.Limits().BodyBytes
 	route, ok := table.Route(r.Host, r.Path)
 	if !ok {
 		return refuser.New(refuser.NoRoute, "route").WithDetail("no route for host %q and path %q", r.Host, r.Path)
@@ -106,17 +123,7 @@
 		return refuser.New(refuser.NoUpstream, "route").WithRetryAfter(unavailableRetryAfter).WithDetail("route %q selects a service that is not configured", route.Name)
 	}
 	x.setDeadline()
-	if refusal := x.refuseUnpermitted(); refusal != nil {
-		return refusal
-	}
-	if refusal := x.admit(); refusal != nil {
-		return refusal
-	}
-	refusal := x.readBody(ctx, table.Limits().BodyBytes)
-	if x.admitted != nil {
-		x.forwarder.config.Admission.BodyRead(time.Now(), x.admitted)
-	}
-	return refusal
+	return x.refuseUnpermitted()
 }
 
 func (x *exchange) authorize(table *resolver.Table) *refuser.Refusal {
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -76,13 +76,15 @@
 	part, verdict := quarantine.CheckParts(now, x.sharedParts())
 	switch {
 	case verdict == quarantiner.Quarantined:
-		return quarantineRefusal("requests with a part of the prompt have crashed the upstreams that ran them")
+		return quarantineRefusal(quarantinedPartDetail)
 	case verdict == quarantiner.Suspect && x.permit == nil:
 		return x.requestPermit(ctx, part)
 	}
 	return nil
 }
 
+const quarantinedPartDetail = "requests with a part of the prompt have crashed the upstreams that ran them"
+
 func quarantineRefusal(detail string) *refuser.Refusal {
 	return refuser.New(refuser.Quarantined, "check").WithRetryAfter(quarantineRetryAfter).WithDetail("%s", detail)
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -106,6 +106,9 @@
 	NewHandler          func(f *forwarder.Forwarder) http.Handler
 	SetUpstreamHeaders  func(h http.Header, m forwarder.Metadata)
 	ParseResponseHeader func(h http.Header) connector.Metadata
+	// ParsePromptParts and ParseTokenUsage read what callers state about a prompt.
+	ParsePromptParts func(value string) ([]balancer.Part, error)
+	ParseTokenUsage  func(value string) (prompt, maxOutput contractor.Tokens, err error)
 }
 
 // Config holds what a Daemon needs.
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, errors.Join(err, server.Close())
 	}
-	go d.serve(&http.Server{Handler: d.config.Recorder.Handler(), ReadHeaderTimeout: defaultHeaderTimeout}, metricsListener)
+	go d.serve(&http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: defaultHeaderTimeout}, metricsListener)
 	return server, nil
 }
 
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -191,6 +191,9 @@
 // need a key unless their route is anonymous.
 func (t *Table) HasAccounts() bool { return len(t.document.Accounts) > 0 }
 
+// HasHost reports whether a host has routes.
+func (t *Table) HasHost(host string) bool { return len(t.routesByHost[hostName(host)]) > 0 }
+
 // Route returns the route of a host with the longest prefix that matches the path.
 func (t *Table) Route(host, path string) (*Route, bool) {
 	for _, r := range t.routesByHost[hostName(host)] {
