--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -45,7 +45,8 @@
 	attempts atomic.Int64
 
 	storeAddress string
-	descriptors  int // limit of the daemon that is started next
+	descriptors  int          // limit of the daemon that is started next
+	metrics      net.Listener // of the daemon that is started next, or nil
 }
 
 func listenLoopback(t *testing.T) net.Listener {
@@ -83,7 +84,13 @@
 		PollTimeout: func() time.Duration { return 200 * time.Millisecond },
 	})
 	listeners := map[netip.AddrPort]net.Listener{addressOf(f.front): f.front, addressOf(f.ready): f.ready}
+	metrics := netip.AddrPort{}
+	if f.metrics != nil {
+		metrics = addressOf(f.metrics)
+		listeners[metrics] = f.metrics
+	}
 	daemon := launcher.New(launcher.Config{
+		MetricsAddress: metrics,
 		Settings: launcher.Settings{
 			Name: "edge-1", Zone: "z", FrontendAddress: addressOf(f.front), ReadinessAddress: addressOf(f.ready), RetryRatio: 10, GracePeriod: time.Minute,
 			Descriptors:     f.descriptors,
