--- a/balancer/explain_test.go
+++ b/balancer/explain_test.go
@@ -15,7 +15,9 @@
 func explainFixture(now time.Time) (*Balancer, Query) {
 	limits := throttler.New(throttler.Config{
 		Random: rand.New(rand.NewPCG(1, 2)).Float64,
-		Warmup: func(string) throttler.Warmup { return throttler.Warmup{Duration: time.Minute, Rate: 6.7, MaxPerSecond: 15} },
+		Warmup: func(string) throttler.Warmup {
+			return throttler.Warmup{Duration: time.Minute, Rate: 6.7, MaxPerSecond: 15}
+		},
 	})
 	b := New(Config{Zone: "zone-0", Limits: limits, Random: rand.New(rand.NewPCG(3, 4)).Float64})
 	q := prompt(7)
