--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -202,6 +202,8 @@
 	MaxPending(now time.Time, service string, upstreams int, id throttler.ID, freeSlots int) int
 	// IsRestricted reports whether an upstream has a limit or a pause, is cold or brittle.
 	IsRestricted(now time.Time, service string, id throttler.ID) bool
+	// Snapshot returns a copy, for Explain.
+	Snapshot() *throttler.Throttler
 }
 
 // Config holds what a Balancer needs.
