apportioner: the open part of a small fleet falls faster, too

Cause: half-way through a balance the open part of a small fleet is 5.5% of what a daemon holds. The first loss of power takes it, and it is most of what is lost.

Change: the open part beyond 2% falls with the fourth power of the unspent fraction instead of the square. Smaller open parts are used up sooner, which cost 5% more calls to the store (6.56 to 6.91 per daemon and second); a round that unlocks more while no request waits therefore comes after 400 ms instead of 300 ms.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -88,9 +88,9 @@
 	mergedRebalanceInterval = 120 * time.Millisecond
 	// minRoundInterval is the shortest time between the starts of two rounds.
 	// unlockRoundInterval applies instead when the open part is nearly used up but no
-	// request waits yet.
+	// request waits yet. With 300 ms, small open parts cost 5% more calls to the store.
 	minRoundInterval    = 120 * time.Millisecond
-	unlockRoundInterval = 300 * time.Millisecond
+	unlockRoundInterval = 400 * time.Millisecond
 	// joinRetryInterval is the time between two attempts to get a row.
 	joinRetryInterval = 50 * time.Millisecond
 	// conflictBackoff is the mean wait after a first conflict. It grows with each further one.
@@ -144,12 +144,12 @@
 	// tokens that the daemon holds. The open part of a killed daemon is lost. It has to be
 	// small enough that an account whose balance is nearly spent still gets nearly all that
 	// it has paid for. An unspent balance can afford fullBalanceOpenFraction more; this
-	// addition falls with the square of the unspent fraction.
+	// addition falls with a power of the unspent fraction, openPartExponent, and so does the long
+	// request that the open part covers in a large fleet. Half-way through a balance, with the
+	// square, a loss of power of all daemons takes 6 to 40% of what they hold.
 	openFraction            = 0.02
 	fullBalanceOpenFraction = 0.14
-	// longRequestExponent is the power of the unspent fraction with which the long request that
-	// the open part covers in a large fleet falls. There the open parts are half of what daemons hold.
-	longRequestExponent = 4
+	openPartExponent        = 4
 	// minShare is the smallest share in tokens that a daemon holds without a request that
 	// needs it: about one request of medium length. Smaller shares stay in the pool, where
 	// any daemon can use them. largeFleetMinShare applies where a large fleet divides a balance
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -233,11 +233,12 @@
 // request, or the demand of the first stage, while the balance is full. In a small fleet, that would lose too many tokens when a
 // daemon is killed.
 func (q *accountPlan) openPart(held float64) float64 {
-	demand := min(q.demandRate*q.openTime.Seconds(), held*(openFraction+fullBalanceOpenFraction*q.unspentFraction*q.unspentFraction))
+	fullness := math.Pow(q.unspentFraction, openPartExponent)
+	demand := min(q.demandRate*q.openTime.Seconds(), held*(openFraction+fullBalanceOpenFraction*fullness))
 	if q.members <= smallFleetSize || q.restarted {
 		return demand
 	}
-	needed := max(float64(q.longRequest)*math.Pow(q.unspentFraction, longRequestExponent), demandMargin*q.demandRate*q.openTime.Seconds())
+	needed := max(float64(q.longRequest)*fullness, demandMargin*q.demandRate*q.openTime.Seconds())
 	return max(demand, min(held*q.unspentFraction, needed))
 }
 
--- a/apportioner/powerloss_test.go
+++ b/apportioner/powerloss_test.go
@@ -222,7 +222,7 @@
 		minimum, maxCalls float64
 		slow              bool // only with the flag
 	}{
-		{load: 0, seeds: []uint64{1, 2, 3}, minimum: 0.88, maxCalls: 8},
+		{load: 0, seeds: []uint64{1, 2, 3}, minimum: 0.93, maxCalls: 8},
 		{load: 0, cut: 3 * time.Second, seeds: []uint64{4, 5, 6}, minimum: 0.72, maxCalls: 9},
 		{load: 0, cut: 5500 * time.Millisecond, seeds: []uint64{7, 8, 9}, minimum: 0.58, maxCalls: 9},
 		{load: 0, cut: 8 * time.Second, seeds: []uint64{10, 11, 12}, minimum: 0.65, maxCalls: 9},
