--- a/balancer/second_test.go
+++ b/balancer/second_test.go
@@ -38,6 +38,7 @@
 		}},
 		{"full", func(b *Balancer, _ *throttler.Throttler, u *registrar.Upstream) {
 			b.state(u).fullUntil = now.Add(time.Second)
+			b.services[u.Service].fullUntil = now.Add(time.Second) // as a rejection sets both
 		}},
 	}
 	for _, tt := range tests {
