recorder, retrier, forwarder: log how retry budgets are used

No decision changes; the configuration of the retries moves to launcher/retry.go, so that a test can use it.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -76,6 +76,7 @@
 		if !decision.Retry {
 			return x.finalRefusal(refusal.WithRetryAfter(x.retryAfter(failed)))
 		}
+		x.retriesGranted++
 		x.tried = append(x.tried, choice.Upstream.Name)
 		if decision.Resume {
 			f.Recorder.Event(recorder.StreamResumed, "id", x.request.ID, "after", x.lastEventID, "from", choice.Upstream.Name, "software", choice.Upstream.Software)
@@ -86,6 +87,16 @@
 	}
 }
 
+// useRetry records that a request which may have reached an upstream is sent to another one, by an attempt of this
+// daemon or by its delegation. Each such send needs a retry from the budget.
+func (x *exchange) useRetry(by string) {
+	if x.retriesGranted > 0 {
+		x.retriesGranted--
+		return
+	}
+	x.forwarder.config.Recorder.Event(recorder.RetryUnbudgeted, "id", x.request.ID, "service", x.service.Name, "by", by, "sends", x.sends)
+}
+
 // recordFailedAttempt logs that an attempt has failed.
 func (x *exchange) recordFailedAttempt(upstream registrar.Name, attempt int, sentAt time.Time, failed *failure) {
 	x.forwarder.config.Recorder.Event(recorder.AttemptFailed, "id", x.request.ID, "upstream", upstream,
@@ -191,6 +202,7 @@
 	x.firstOutput, x.served = time.Time{}, false
 	x.upstream, x.attemptEvents, x.continued = choice.Upstream, 0, false
 	x.permitUpstream = choice.Upstream.Name
+	sendsBefore := x.sends
 	var failed *failure
 	if r.err != nil {
 		failed = x.sendFailure(r.err)
@@ -203,6 +215,9 @@
 		failed = x.handleResponse(r.response)
 		r.response.Close()
 	}
+	if sendsBefore > 0 && x.sends > sendsBefore {
+		x.useRetry("attempt")
+	}
 	if failed != nil {
 		if (failed.connectionLost || failed.outcome == balancer.Unreachable) && ctx.Err() == nil && f.Reachability != nil {
 			f.Reachability.ReportFailure(string(x.service.Name), choice.Upstream.Address)
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -58,6 +58,9 @@
 // caller.
 func (x *exchange) delegate(ctx context.Context) *refuser.Refusal {
 	f := x.forwarder.config
+	if x.sends > 0 {
+		x.useRetry("delegation")
+	}
 	response, err := f.Delegate.Send(ctx, x.delegatedRequest())
 	if errors.Is(err, delegator.ErrInterrupted) {
 		x.executions++
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -42,7 +42,9 @@
 	// sends counts attempts that reached an upstream, executions those in which the
 	// upstream may have executed the request.
 	sends, executions int
-	tried             []registrar.Name
+	// retriesGranted counts the retries from the budget that have not reached an upstream.
+	retriesGranted int
+	tried          []registrar.Name
 	// permit allows the request although a part of its prompt is suspected of crashing
 	// upstreams. permitUpstream is the upstream that may have executed it last.
 	permit         *quarantiner.Permit
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -240,6 +240,9 @@
 // http.ErrAbortHandler if the response fails after a part of it was written.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	x := &exchange{forwarder: f, request: r, writer: w, sends: r.Executions, executions: r.Executions}
+	if r.Executions > 0 {
+		x.retriesGranted = 1 // by the daemon that has delegated the request
+	}
 	defer x.endAdmission()
 	defer func() { x.serverErrorResponse.release() }()
 	if refusal := x.prepare(ctx); refusal != nil {
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -80,6 +80,7 @@
 			expired = nil
 			if second, ok := x.chooseSecond(&choice); ok {
 				x.hedge.sends++
+				x.retriesGranted++
 				pending = append(pending, x.startSend(ctx, second, true, results))
 			}
 		case s := <-results:
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -266,17 +266,13 @@
 		Admission: d.admitter, Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
-		Retries:        retrier.New(retrier.Config{TargetRatio: retryFraction * s.RetryRatio, AccountRatio: s.RetryRatio, BaseDelay: retryBaseDelay, Recorder: rec}),
+		Retries:        retrier.New(s.retryConfig(rec)),
 		ResponseMemory: min(s.MemoryLimit/responseMemoryDivisor, maxResponseMemory),
 		RegionOf:       s.regionOf, SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
 	})
 	return d
 }
 
-// retryBaseDelay is the mean delay before a second attempt. It is short because that attempt
-// goes to another upstream, and the shortest latency objective is 120 ms.
-const retryBaseDelay = 4 * time.Millisecond
-
 const (
 	// maxCrashes is the number of upstreams that a request may crash. The users count
 	// such crashes from the third on.
@@ -331,10 +327,6 @@
 	maxResponseMemory = 24 << 20
 )
 
-// retryFraction is the fraction of the fleet's retry ratio that daemons use. The rest
-// covers retries that were saved up in an earlier window.
-const retryFraction = 0.6
-
 // lastFailure returns when the watch of the upstreams last failed, or the zero time.
 func (d *Daemon) lastFailure() time.Time {
 	if d.upstreamReplicator == nil {
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -80,6 +80,10 @@
 	// SecondSendEnded is logged when one of the two sends of a request has delivered its response and
 	// the other one is cancelled.
 	SecondSendEnded Code = 2410
+	// RetriesUsed is logged at most once per second and target while attempts are retried.
+	RetriesUsed Code = 2411
+	// RetryUnbudgeted is logged when a request reaches another upstream without a retry from the budget.
+	RetryUnbudgeted Code = 2412
 	// SoftwareUncertain is logged when software versions that this daemon does not know may have
 	// begun streams of a service: the stored history does not contain the service, is older than a
 	// restore of the store, was lost, or cannot be read.
@@ -117,6 +121,8 @@
 	UpstreamSpeed:       "upstream_speed",
 	SecondSendsPaused:   "second_sends_paused",
 	SecondSendEnded:     "second_send_ended",
+	RetriesUsed:         "retries_used",
+	RetryUnbudgeted:     "retry_unbudgeted",
 	ReportDistrusted:    "report_distrusted",
 	RequestRefused:      "request_refused",
 	AttemptFailed:       "attempt_failed",
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -200,6 +200,7 @@
 	config Config
 	seed   maphash.Seed
 	shards [shardCount]shard
+	usage  usageLog
 }
 
 // New returns a retrier. Its budgets are empty except for their reserves.
@@ -213,6 +214,7 @@
 
 // RecordFirstAttempt records the first attempt of a request, which adds to the budgets.
 func (r *Retrier) RecordFirstAttempt(account contractor.Account, target string) {
+	r.usage.countFirst(target)
 	r.updateBudget(budgetKey{"", target}, func(b *budget) {
 		b.retries = min(b.retries+r.config.TargetRatio, r.config.Burst)
 	})
@@ -245,6 +247,9 @@
 	} else {
 		r.config.Recorder.Count("not_retried."+d.Reason.String(), 1)
 	}
+	if d.Retry || d.Reason == BudgetExhausted {
+		r.usage.countRetry(now, target, d.Retry, r.config.Recorder)
+	}
 	return d
 }
 
