retrier: retries of a window are limited for the whole fleet

Callers saw nothing; upstreams of a service that failed or rejected requests for all daemons at once got more repeated requests than operators allow (BUDGET).

Cause: the budget of a service was a token bucket in each daemon. It saved up to 10 retries while attempts succeeded, with 3 in reserve for crashes, whatever the size of the fleet, and the window and the allowance of the settings were not read. 64 daemons spent 640 saved retries in the seconds in which they also earned 420. Class: a limit for a fleet that each member keeps by itself.

Now a daemon counts first attempts and retries of the last window. Nothing is saved. A restarted daemon retries nothing in its first window, because its predecessor may have used up the limit. The buckets of accounts stay; they only decide between accounts.

TestWindowLimitsRetries and TestShareFollowsLargestFleetOfWindow are new.

--- a/executor/call.go
+++ b/executor/call.go
@@ -167,7 +167,7 @@
 func (x *Executor) runCallAttempts(ctx context.Context, call *conductor.ServiceCall, reservation reserver.Reservation, repeatable bool) (*conductor.Response, error) {
 	account := call.Identity.Contract.Account
 	query := router.Query{Kind: contractor.KindService, Target: call.Service, Zone: x.config.Zone}
-	x.config.Retries.RecordFirstAttempt(account, call.Service)
+	x.config.Retries.RecordFirstAttempt(time.Now(), account, call.Service)
 	if err := x.config.Budgets.BeginDispatch(reservation); err != nil {
 		return nil, err
 	}
--- a/executor/complete.go
+++ b/executor/complete.go
@@ -151,7 +151,7 @@
 
 func (x *Executor) runAttempts(ctx context.Context, c *completion) error {
 	account := c.request.Identity.Contract.Account
-	x.config.Retries.RecordFirstAttempt(account, c.request.Model)
+	x.config.Retries.RecordFirstAttempt(time.Now(), account, c.request.Model)
 	if err := x.config.Budgets.BeginDispatch(c.reservation); err != nil {
 		return err
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -57,7 +57,7 @@
 
 // Retries decides whether a failed attempt is retried.
 type Retries interface {
-	RecordFirstAttempt(account contractor.Account, target string)
+	RecordFirstAttempt(now time.Time, account contractor.Account, target string)
 	Decide(now time.Time, account contractor.Account, target string, attempt int, deadline time.Time, f retrier.Failure) retrier.Decision
 }
 
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -168,8 +168,8 @@
 func newTestExecutor(f *fakeDependencies) *Executor {
 	retries := retrier.New(retrier.Config{Attempts: 3, BaseDelay: time.Microsecond})
 	for range 100 {
-		retries.RecordFirstAttempt("loft", "draft")
-		retries.RecordFirstAttempt("loft", "desk")
+		retries.RecordFirstAttempt(time.Now(), "loft", "draft")
+		retries.RecordFirstAttempt(time.Now(), "loft", "desk")
 	}
 	return New(Config{
 		Contracts:  f,
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -36,7 +36,7 @@
 func (x *exchange) runAttempts(ctx context.Context) *refuser.Refusal {
 	f := x.forwarder.config
 	target := string(x.service.Name)
-	f.Retries.RecordFirstAttempt(x.accountName(), target)
+	f.Retries.RecordFirstAttempt(time.Now(), x.accountName(), target)
 	x.beginHedge()
 	for attempt := 1; ; attempt++ {
 		if attempt > 1 && x.unreachable() {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -131,11 +131,11 @@
 
 // Retries decides whether a failed attempt is retried.
 type Retries interface {
-	RecordFirstAttempt(account contractor.Account, target string)
+	RecordFirstAttempt(now time.Time, account contractor.Account, target string)
 	Decide(now time.Time, account contractor.Account, target string, attempt int, deadline time.Time, f retrier.Failure) retrier.Decision
 	// TakeSecondSend takes a second send of a request in flight from the budget, ReturnSecondSend gives it back.
-	TakeSecondSend(account contractor.Account, target string) bool
-	ReturnSecondSend(account contractor.Account, target string)
+	TakeSecondSend(now time.Time, account contractor.Account, target string) bool
+	ReturnSecondSend(now time.Time, account contractor.Account, target string)
 }
 
 // Reachability knows which services this daemon reaches.
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -142,14 +142,14 @@
 // takeSecond takes the second send from the retry budget and chooses its upstream.
 func (x *exchange) takeSecond(now time.Time, first *balancer.Choice) (balancer.Choice, hedger.Reason) {
 	f, target := x.forwarder.config, string(x.service.Name)
-	if !f.Retries.TakeSecondSend(x.accountName(), target) {
+	if !f.Retries.TakeSecondSend(now, x.accountName(), target) {
 		return balancer.Choice{}, hedger.RetriesUsed
 	}
 	q := x.query()
 	q.Second, q.Exclude = true, append(slices.Clone(x.tried), first.Upstream.Name)
 	choice, ok := f.Balancer.Choose(now, q)
 	if !ok {
-		f.Retries.ReturnSecondSend(x.accountName(), target)
+		f.Retries.ReturnSecondSend(now, x.accountName(), target)
 		return choice, hedger.NoUpstream
 	}
 	return choice, hedger.Allowed
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -82,6 +82,10 @@
 	GracePeriod time.Duration
 	// RetryRatio is the maximum number of retries in the fleet, as a fraction of its requests.
 	RetryRatio float64
+	// RetryAllowance is the number of retries at a service that the fleet may make beyond RetryRatio in each
+	// RetryWindow.
+	RetryAllowance float64
+	RetryWindow    time.Duration
 	// Regions has the region of each zone. It may be empty.
 	Regions map[string]string
 	// WarmupOvershoot times the rate that a cold upstream tolerates, plus WarmupAllowance, is the number of
@@ -266,7 +270,7 @@
 		Admission: d.admitter, Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
-		Retries:        retrier.New(s.retryConfig(rec)),
+		Retries:        retrier.New(s.retryConfig(time.Now(), d.knownMembers, rec)),
 		ResponseMemory: min(s.MemoryLimit/responseMemoryDivisor, maxResponseMemory),
 		RegionOf:       s.regionOf, SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
 	})
@@ -293,6 +297,9 @@
 	return d.shares.Peers(), d.shares.Registered()
 }
 
+// knownMembers returns the number of daemons in the fleet, and reports whether it is known.
+func (d *Daemon) knownMembers() (int, bool) { return d.Members(), d.shares.Registered() }
+
 // hastenNotice makes the next notice to the other daemons early.
 func (d *Daemon) hastenNotice() {
 	if a := d.announcer.Load(); a != nil {
--- a/launcher/retry_test.go
+++ b/launcher/retry_test.go
@@ -69,7 +69,14 @@
 // restart replaces a daemon by one that knows nothing of earlier retries.
 func (f *retryFleet) restart(i int) {
 	f.startedAt[i] = f.now
-	f.retriers[i] = retrier.New(Settings{RetryRatio: retryTestRatio}.retryConfig(nil))
+	members := func() (int, bool) {
+		if f.now-f.startedAt[i] < f.scenario.oneKnown {
+			return 1, true
+		}
+		return len(f.retriers), true
+	}
+	settings := Settings{RetryRatio: retryTestRatio, RetryWindow: retryTestWindow, RetryAllowance: f.scenario.allowance}
+	f.retriers[i] = retrier.New(settings.retryConfig(f.start.Add(f.now), members, nil))
 }
 
 // run plays the scenario. Callers start when the fleet has run for a window.
@@ -106,7 +113,7 @@
 	account := contractor.Account(fmt.Sprint("account-", f.random.IntN(24)))
 	now := f.start.Add(f.now)
 	f.requests[step]++
-	f.retriers[i].RecordFirstAttempt(account, "drafts")
+	f.retriers[i].RecordFirstAttempt(now, account, "drafts")
 	if !f.isFailing() {
 		return
 	}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -5,13 +5,17 @@
 // Once a part of the response has reached the caller, the request can only be resumed
 // at the offset of the stream.
 //
-// Retries are limited by budgets. Each first attempt adds a fraction of a retry to the
-// budget of its target and to the budget of its client account at that target. Each retry
-// takes one from both. Retries cannot exceed that fraction of the offered load, however
-// many attempts fail. Each budget also has a small reserve, from which a rarely used target can
-// retry after a crash; failures caused by overload do not use the reserve.
+// Retries are limited by budgets. In each window, the retries at a target are at most a fraction
+// of its first attempts, however many attempts fail. After crashes they may exceed it by an allowance,
+// which the daemons of a fleet share, so that a rarely used target can retry; failures caused by
+// overload do not use the allowance. Nothing is carried over to later windows: upstreams often fail for
+// all daemons at once, which would then spend all that they have saved in the same seconds.
 //
-//	r.RecordFirstAttempt(account, target)
+// Besides, each client account at a target has a budget, so that one account cannot use up the target's. A
+// first attempt adds a fraction of a retry to it, which the account can save, and each retry takes one.
+// It has a small reserve for retries after crashes.
+//
+//	r.RecordFirstAttempt(now, account, target)
 //	...
 //	d := r.Decide(now, account, target, 1, deadline, retrier.Failure{Phase: retrier.NoResponse, Repeatable: true})
 //	if d.Retry {
@@ -111,13 +115,23 @@
 type Config struct {
 	// Attempts is the maximum number of attempts of one request.
 	Attempts int
-	// TargetRatio is the number of retries that each first attempt adds to the budget of
-	// its target.
+	// TargetRatio is the number of retries that each first attempt allows at its target in a window.
 	TargetRatio float64
+	// Window is the span of time in which the retries at a target are limited.
+	Window time.Duration
+	// Allowance is the number of retries per window that all daemons together may make at a target
+	// beyond TargetRatio.
+	Allowance float64
+	// StartedAt is when the daemon has started. It retries nothing in the first window: what ran on its VM before
+	// may have used up the limit of that window. Zero means that nothing ran there.
+	StartedAt time.Time
+	// Members returns the number of daemons in the fleet. It reports false while that is not known; the
+	// daemon then has no share of the allowance. Nil means that there are no others.
+	Members func() (count int, known bool)
 	// AccountRatio is the number of retries that each first attempt adds to the budget of
 	// its account at the target.
 	AccountRatio float64
-	// Burst is the maximum number of retries that a budget accumulates.
+	// Burst is the maximum number of retries that an account accumulates.
 	Burst float64
 	// BaseDelay is the mean delay before the first retry. The mean doubles with each attempt.
 	BaseDelay time.Duration
@@ -134,12 +148,15 @@
 const (
 	defaultAttempts       = 3
 	defaultTargetRatio    = 0.08
+	defaultWindow         = 10 * time.Second
+	minWindow             = 100 * time.Millisecond
+	defaultAllowance      = 3
 	defaultAccountRatio   = 0.2
 	defaultBurst          = 10
 	defaultBaseDelay      = 25 * time.Millisecond
 	defaultMaxDelay       = 2 * time.Second
 	defaultMinAttemptTime = 50 * time.Millisecond
-	// reserveRetries is the size of a budget's reserve for retries after crashes.
+	// reserveRetries is the size of an account's reserve for retries after crashes.
 	reserveRetries = 3
 	// reserveRefillInterval is the interval in which the reserve is refilled by one retry.
 	reserveRefillInterval = 20 * time.Second
@@ -147,6 +164,8 @@
 	// maxBudgetsPerShard limits the memory for budgets. A shard that is full drops all of
 	// its budgets.
 	maxBudgetsPerShard = 4096
+	// maxTargets limits the memory for the budgets of targets in the same way.
+	maxTargets = 4096
 )
 
 func (c Config) withDefaults() Config {
@@ -156,6 +175,12 @@
 	if c.TargetRatio <= 0 {
 		c.TargetRatio = defaultTargetRatio
 	}
+	if c.Window < minWindow {
+		c.Window = defaultWindow
+	}
+	if c.Allowance <= 0 && c.Members == nil {
+		c.Allowance = defaultAllowance
+	}
 	if c.AccountRatio <= 0 {
 		c.AccountRatio = defaultAccountRatio
 	}
@@ -177,13 +202,13 @@
 	return c
 }
 
-// budgetKey identifies a budget. The account is empty for the budget of a target.
-type budgetKey struct {
+// accountKey identifies the budget of an account at a target.
+type accountKey struct {
 	account contractor.Account
 	target  string
 }
 
-// budget is a token bucket of retries.
+// budget is the token bucket of an account.
 type budget struct {
 	retries         float64
 	reserve         float64
@@ -192,7 +217,7 @@
 
 type shard struct {
 	mu      sync.Mutex
-	budgets map[budgetKey]*budget
+	budgets map[accountKey]*budget
 }
 
 // Retrier decides whether attempts are retried. It is safe for concurrent use.
@@ -200,30 +225,54 @@
 	config Config
 	seed   maphash.Seed
 	shards [shardCount]shard
+	fleet  fleetSize
 	usage  usageLog
+
+	mu      sync.RWMutex
+	targets map[string]*target
 }
 
-// New returns a retrier. Its budgets are empty except for their reserves.
+// New returns a retrier. Its budgets are empty except for the reserves and the allowance.
 func New(c Config) *Retrier {
-	r := &Retrier{config: c.withDefaults(), seed: maphash.MakeSeed()}
+	r := &Retrier{config: c.withDefaults(), seed: maphash.MakeSeed(), targets: make(map[string]*target)}
 	for i := range r.shards {
-		r.shards[i].budgets = make(map[budgetKey]*budget)
+		r.shards[i].budgets = make(map[accountKey]*budget)
 	}
 	return r
 }
 
 // RecordFirstAttempt records the first attempt of a request, which adds to the budgets.
-func (r *Retrier) RecordFirstAttempt(account contractor.Account, target string) {
+func (r *Retrier) RecordFirstAttempt(now time.Time, account contractor.Account, target string) {
 	r.usage.countFirst(target)
-	r.updateBudget(budgetKey{"", target}, func(b *budget) {
-		b.retries = min(b.retries+r.config.TargetRatio, r.config.Burst)
-	})
-	r.updateBudget(budgetKey{account, target}, func(b *budget) {
+	r.fleet.sample(now, &r.config)
+	r.target(target).recordFirst(now, &r.config)
+	r.updateAccount(accountKey{account, target}, func(b *budget) {
 		b.retries = min(b.retries+r.config.AccountRatio, r.config.Burst)
 	})
 }
 
-func (r *Retrier) updateBudget(key budgetKey, change func(*budget)) {
+// target returns the budget of a target.
+func (r *Retrier) target(name string) *target {
+	r.mu.RLock()
+	b := r.targets[name]
+	r.mu.RUnlock()
+	if b != nil {
+		return b
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b = r.targets[name]; b != nil {
+		return b
+	}
+	if len(r.targets) >= maxTargets {
+		clear(r.targets)
+	}
+	b = &target{}
+	r.targets[name] = b
+	return b
+}
+
+func (r *Retrier) updateAccount(key accountKey, change func(*budget)) {
 	s := &r.shards[maphash.Comparable(r.seed, key)%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -298,56 +347,53 @@
 
 // take takes one retry from both the account's and the target's budget, or from neither.
 func (r *Retrier) take(now time.Time, account contractor.Account, target string, f Failure) bool {
-	useReserve := f.UpstreamDown && !f.Overloaded
-	accountKey, targetKey := budgetKey{account, target}, budgetKey{"", target}
-	if !r.takeFrom(now, accountKey, useReserve) {
+	if r.isFirstWindow(now) {
 		return false
 	}
-	if r.takeFrom(now, targetKey, useReserve) {
-		return true
+	afterCrash := f.UpstreamDown && !f.Overloaded
+	share := 0.0
+	if afterCrash {
+		share = r.fleet.share(now, &r.config)
 	}
-	r.giveBack(accountKey)
-	return false
-}
-
-// TakeSecondSend takes one retry from the budgets for a second send of a request that has not failed. It leaves
-// one to each budget, because retries of failed requests are needed more.
-func (r *Retrier) TakeSecondSend(account contractor.Account, target string) bool {
-	accountKey, targetKey := budgetKey{account, target}, budgetKey{"", target}
-	if !r.takeSpare(accountKey) {
+	t := r.target(target)
+	if !t.take(now, &r.config, share, 0) {
 		return false
 	}
-	if r.takeSpare(targetKey) {
-		return true
+	taken := false
+	r.updateAccount(accountKey{account, target}, func(b *budget) { taken = b.take(now, afterCrash) })
+	if !taken {
+		t.giveBack(now, &r.config)
 	}
-	r.giveBack(accountKey)
-	return false
+	return taken
 }
 
-// ReturnSecondSend gives back what TakeSecondSend has taken for a send that was not made.
-func (r *Retrier) ReturnSecondSend(account contractor.Account, target string) {
-	r.giveBack(budgetKey{account, target})
-	r.giveBack(budgetKey{"", target})
+func (r *Retrier) isFirstWindow(now time.Time) bool {
+	return !r.config.StartedAt.IsZero() && now.Sub(r.config.StartedAt) < r.config.Window
 }
 
-func (r *Retrier) takeSpare(key budgetKey) bool {
+// TakeSecondSend takes one retry from the budgets for a second send of a request that has not failed. It leaves
+// one to each budget, because retries of failed requests are needed more.
+func (r *Retrier) TakeSecondSend(now time.Time, account contractor.Account, target string) bool {
+	t := r.target(target)
+	if r.isFirstWindow(now) || !t.take(now, &r.config, 0, 1) {
+		return false
+	}
 	taken := false
-	r.updateBudget(key, func(b *budget) {
+	r.updateAccount(accountKey{account, target}, func(b *budget) {
 		if taken = b.retries >= 2; taken {
 			b.retries--
 		}
 	})
+	if !taken {
+		t.giveBack(now, &r.config)
+	}
 	return taken
 }
 
-func (r *Retrier) giveBack(key budgetKey) {
-	r.updateBudget(key, func(b *budget) { b.retries = min(b.retries+1, r.config.Burst) })
-}
-
-func (r *Retrier) takeFrom(now time.Time, key budgetKey, useReserve bool) bool {
-	taken := false
-	r.updateBudget(key, func(b *budget) { taken = b.take(now, useReserve) })
-	return taken
+// ReturnSecondSend gives back what TakeSecondSend has taken for a send that was not made.
+func (r *Retrier) ReturnSecondSend(now time.Time, account contractor.Account, target string) {
+	r.target(target).giveBack(now, &r.config)
+	r.updateAccount(accountKey{account, target}, func(b *budget) { b.retries = min(b.retries+1, r.config.Burst) })
 }
 
 func (b *budget) take(now time.Time, useReserve bool) bool {
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -14,7 +14,7 @@
 
 func ExampleRetrier() {
 	r := New(Config{Random: func() float64 { return 0.5 }})
-	r.RecordFirstAttempt("loft-7", "order-desk")
+	r.RecordFirstAttempt(start, "loft-7", "order-desk")
 	order := Failure{Phase: NoResponse, UpstreamDown: true}
 	fmt.Println(r.Decide(time.Now(), "loft-7", "order-desk", 1, time.Time{}, order).Reason)
 	draft := Failure{Phase: NoResponse, UpstreamDown: true, Repeatable: true}
@@ -81,7 +81,7 @@
 			for i := range tt.offered {
 				account := contractor.Account(fmt.Sprint(i % tt.accounts))
 				now := start.Add(time.Duration(i) * time.Millisecond)
-				r.RecordFirstAttempt(account, "m")
+				r.RecordFirstAttempt(now, account, "m")
 				for attempt := 1; r.Decide(now, account, "m", attempt, time.Time{}, tt.failure).Retry; attempt++ {
 					retries++
 				}
@@ -96,9 +96,9 @@
 func TestFailingAccountCannotUseTargetBudget(t *testing.T) {
 	r := New(Config{})
 	for range 1000 {
-		r.RecordFirstAttempt("quiet", "m")
+		r.RecordFirstAttempt(start, "quiet", "m")
 	}
-	r.RecordFirstAttempt("failing", "m")
+	r.RecordFirstAttempt(start, "failing", "m")
 	used := 0
 	for r.Decide(start, "failing", "m", 1, time.Time{}, Failure{Phase: NotSent, UpstreamDown: true}).Retry {
 		used++
@@ -112,20 +112,80 @@
 func TestSecondSendsLeaveARetry(t *testing.T) {
 	r := New(Config{TargetRatio: 1, AccountRatio: 1, Random: func() float64 { return 0 }})
 	failure := Failure{Phase: NoResponse, Repeatable: true}
-	require.False(t, r.TakeSecondSend("loft-7", "draft"), "no reserve for second sends")
+	require.False(t, r.TakeSecondSend(start, "loft-7", "draft"), "no reserve for second sends")
 	for range 3 {
-		r.RecordFirstAttempt("loft-7", "draft")
+		r.RecordFirstAttempt(start, "loft-7", "draft")
 	}
-	require.True(t, r.TakeSecondSend("loft-7", "draft"))
-	r.ReturnSecondSend("loft-7", "draft")
-	require.True(t, r.TakeSecondSend("loft-7", "draft"))
-	require.True(t, r.TakeSecondSend("loft-7", "draft"))
-	require.False(t, r.TakeSecondSend("loft-7", "draft"))
+	require.True(t, r.TakeSecondSend(start, "loft-7", "draft"))
+	r.ReturnSecondSend(start, "loft-7", "draft")
+	require.True(t, r.TakeSecondSend(start, "loft-7", "draft"))
+	require.True(t, r.TakeSecondSend(start, "loft-7", "draft"))
+	require.False(t, r.TakeSecondSend(start, "loft-7", "draft"))
 	require.True(t, r.Decide(start, "loft-7", "draft", 1, time.Time{}, failure).Retry)
 	require.False(t, r.Decide(start, "loft-7", "draft", 1, time.Time{}, failure).Retry)
-	r.RecordFirstAttempt("other", "draft")
-	r.RecordFirstAttempt("other", "draft")
-	require.True(t, r.TakeSecondSend("other", "draft"))
-	require.False(t, r.TakeSecondSend("other", "draft"), "the account has one left, the target as well")
+	r.RecordFirstAttempt(start, "other", "draft")
+	r.RecordFirstAttempt(start, "other", "draft")
+	require.True(t, r.TakeSecondSend(start, "other", "draft"))
+	require.False(t, r.TakeSecondSend(start, "other", "draft"), "the account has one left, the target as well")
 	require.True(t, r.Decide(start, "other", "draft", 1, time.Time{}, failure).Retry)
 }
+
+// Guards against retries that are saved in a calm time, or that a daemon makes anew after a restart: when upstreams fail
+// for all daemons at once, each would spend them in the same seconds.
+func TestWindowLimitsRetries(t *testing.T) {
+	rejected := Failure{Phase: NotSent, Overloaded: true}
+	crashed := Failure{Phase: NotSent, UpstreamDown: true}
+	fleet := func(count int, known bool) func() (int, bool) { return func() (int, bool) { return count, known } }
+	tests := []struct {
+		name    string
+		config  Config
+		calm    time.Duration // with one first attempt in each 100 ms
+		pause   time.Duration // between the calm time and the failures
+		failure Failure
+		retries int
+	}{
+		{"a fraction of one window", Config{TargetRatio: 0.2}, time.Minute, 0, rejected, 20},
+		{"older first attempts do not count", Config{TargetRatio: 0.2}, time.Minute, 5 * time.Second, rejected, 10},
+		{"nothing is left of an earlier window", Config{TargetRatio: 0.2}, time.Minute, 11 * time.Second, rejected, 0},
+		{"another window", Config{TargetRatio: 0.2, Window: 2 * time.Second}, time.Minute, 0, rejected, 4},
+		{"share after crashes", Config{TargetRatio: 0.2, Allowance: 16, Members: fleet(8, true)}, time.Minute, 0, crashed, 22},
+		{"no share after rejections", Config{TargetRatio: 0.2, Allowance: 16, Members: fleet(8, true)}, time.Minute, 0, rejected, 20},
+		{"no share of an unknown fleet", Config{TargetRatio: 0.2, Allowance: 16, Members: fleet(8, false)}, time.Minute, 0, crashed, 20},
+		{"a daemon alone", Config{TargetRatio: 0.2, Allowance: 100, Members: fleet(1, true)}, time.Minute, 0, crashed, 20 + maxShare},
+		{"first window", Config{TargetRatio: 0.2, StartedAt: start}, 9 * time.Second, 0, crashed, 0},
+		{"after the first window", Config{TargetRatio: 0.2, StartedAt: start}, 12 * time.Second, 0, rejected, 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.config.AccountRatio, tt.config.Burst, tt.config.Random = 1, 1000, func() float64 { return 0 }
+			r := New(tt.config)
+			now := start
+			for ; now.Before(start.Add(tt.calm)); now = now.Add(100 * time.Millisecond) {
+				r.RecordFirstAttempt(now, "loft-7", "m")
+			}
+			now = now.Add(tt.pause - time.Millisecond)
+			retries := 0
+			for r.Decide(now, "loft-7", "m", 1, time.Time{}, tt.failure).Retry {
+				retries++
+			}
+			require.Equal(t, tt.retries, retries)
+			if tt.retries > 0 {
+				later := now.Add(r.config.Window / 2)
+				require.False(t, r.Decide(later, "loft-7", "m", 1, time.Time{}, tt.failure).Retry, "the window has not passed")
+			}
+		})
+	}
+}
+
+// The fleet may shrink while its retries of the same window still count.
+func TestShareFollowsLargestFleetOfWindow(t *testing.T) {
+	members := 60
+	c := Config{Allowance: 120, Window: 10 * time.Second, Members: func() (int, bool) { return members, true }}
+	f := fleetSize{}
+	require.Equal(t, 2.0, f.share(start, &c))
+	members = 48
+	require.Equal(t, 2.0, f.share(start.Add(9*time.Second), &c))
+	require.Equal(t, 2.5, f.share(start.Add(11*time.Second), &c))
+	members = 80
+	require.Equal(t, 1.5, f.share(start.Add(13*time.Second), &c))
+}
--- a/router/overload_test.go
+++ b/router/overload_test.go
@@ -140,7 +140,7 @@
 		if at >= overloadWarmup {
 			x.started++
 		}
-		x.retriers[j.daemon].RecordFirstAttempt(c.account, "quote-model")
+		x.retriers[j.daemon].RecordFirstAttempt(clock(at), c.account, "quote-model")
 	}
 	j.sentAt = at
 	j.runner = x.policies[j.daemon].choose(clock(at), j.query)
--- a/soaker/daemon.go
+++ b/soaker/daemon.go
@@ -71,6 +71,8 @@
 [ruleParams]
 graceS = 8
 retryRatio = 0.2
+retryWindowS = 2
+retryAllowance = 50
 [platform]
 address = %q
 `, d.name, ip, d.frontend, net.JoinHostPort(ip, "18001"), p.address)
