forwarder: a delegated repeat needs a retry from the budget

When a partition from the upstreams began, a request that had reached an upstream and whose retry the budget refused was sent to another daemon all the same, and ran a second time at its upstream: up to one for each repeatable request in flight. Cause: Serve asked only whether the service is unreachable.

Such a request now gets 502, and its caller may try again. One that has reached no upstream is delegated without a retry, as before. The case 'reached an upstream, no budget' of TestDelegatedRepeatNeedsRetryBudget failed before (1 delegated request instead of 0) and passes.

--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -27,6 +27,15 @@
 	return !config.Reachability.Reachable(string(x.service.Name))
 }
 
+// mayBeServedElsewhere reports whether another daemon may serve a request that is to be refused here. If it may have
+// reached an upstream, that needs a retry from the budget.
+func (x *exchange) mayBeServedElsewhere(refusal *refuser.Refusal) bool {
+	if refusal.Reason != refuser.NoUpstream && refusal.Reason != refuser.UpstreamFailed {
+		return false
+	}
+	return (x.sends == 0 || x.retriesGranted > 0) && x.unreachable()
+}
+
 // serveElsewhere sends the request to another daemon and forwards its response. A request that another
 // daemon has delegated to this one is declined instead. It reports false if the request is still to be
 // served: all others decline it, and this daemon reaches some upstreams.
--- a/forwarder/delegation_test.go
+++ b/forwarder/delegation_test.go
@@ -17,6 +17,7 @@
 
 	"laburnumline/connector"
 	"laburnumline/delegator"
+	"laburnumline/retrier"
 )
 
 // otherDaemon is a fake of a delegate: it returns a response, or the error.
@@ -149,3 +150,34 @@
 		})
 	}
 }
+
+// A daemon whose retry budget is used up must not send a request that has reached an upstream to another daemon: its upstream
+// gets a repeat that nobody has counted, from each request in flight when a partition begins.
+func TestDelegatedRepeatNeedsRetryBudget(t *testing.T) {
+	tests := []struct {
+		name    string
+		written bool // the upstream may have received the request
+		budget  bool
+		sent    int
+	}{
+		{"reached an upstream, no budget", true, false, 0},
+		{"reached an upstream, within the budget", true, true, 1},
+		{"reached no upstream, no budget", false, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			fake := newFakeUpstreams(t)
+			config := fake.forwarder().config
+			other := &otherDaemon{response: respondWith(200, http.Header{"Runner-Signature": {"s"}}, strings.NewReader("done"))}
+			config.Sender, config.Delegate, config.Reachability = &unreachableUpstreams{written: tt.written}, other, &reachability{failuresLeft: 1}
+			if !tt.budget {
+				config.Retries = retrier.New(retrier.Config{StartedAt: time.Now()}) // none in its first window
+			}
+			New(config).Serve(t.Context(), httptest.NewRecorder(), &Request{
+				ID: "1", Method: "POST", Host: "a.example", Path: "/again/", Target: "/again/", Header: http.Header{}, Key: "key",
+				Body: strings.NewReader("x"), Length: 1, CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(),
+			})
+			require.Len(t, other.requests, tt.sent)
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -269,7 +269,7 @@
 	defer x.settle()
 	defer x.endPermit()
 	refusal := x.runAttempts(ctx)
-	if refusal != nil && (refusal.Reason == refuser.NoUpstream || refusal.Reason == refuser.UpstreamFailed) && x.unreachable() && x.serveElsewhere(ctx) {
+	if refusal != nil && x.mayBeServedElsewhere(refusal) && x.serveElsewhere(ctx) {
 		return
 	}
 	if refusal != nil {
