forwarder, delegator: a delegated request counts once as a first attempt

A daemon that tried a request and then delegated it had counted it as a first attempt, and the daemon that served it counted it again: both earned a part of a retry. At the beginning of a partition the fleet could so retry more than its ratio.

The delegated request now says whether it is counted. A daemon of an earlier version ignores or lacks the field and counts as before. Without the change TestDelegatedRequestIsCountedOnce counts 2 first attempts instead of 1.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -73,7 +73,9 @@
 	PromptTokens, MaxOutputTokens int64
 	Parts                         []Part `cbor:"parts"`
 	// Executions is how many upstreams may have run the request already.
-	Executions  int    `cbor:"executions"`
+	Executions int `cbor:"executions"`
+	// Counted is true if this daemon has counted the request as a first attempt.
+	Counted     bool   `cbor:"counted,omitempty"`
 	ResumeAfter string `cbor:"after"`
 	Resumes     string `cbor:"resumes"`
 	Body        []byte `cbor:"-"` // follows the encoded fields
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -36,7 +36,10 @@
 func (x *exchange) runAttempts(ctx context.Context) *refuser.Refusal {
 	f := x.forwarder.config
 	target := string(x.service.Name)
-	f.Retries.RecordFirstAttempt(time.Now(), x.accountName(), target)
+	if !x.counted {
+		x.counted = true
+		f.Retries.RecordFirstAttempt(time.Now(), x.accountName(), target)
+	}
 	x.beginHedge()
 	for attempt := 1; ; attempt++ {
 		if attempt > 1 && x.unreachable() {
--- a/forwarder/delegation_test.go
+++ b/forwarder/delegation_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumline/connector"
+	"laburnumline/contractor"
 	"laburnumline/delegator"
 	"laburnumline/retrier"
 )
@@ -181,3 +182,43 @@
 		})
 	}
 }
+
+// countedRetries counts the first attempts that a daemon records.
+type countedRetries struct {
+	*retrier.Retrier
+	first int
+}
+
+func (c *countedRetries) RecordFirstAttempt(now time.Time, account contractor.Account, target string) {
+	c.first++
+	c.Retrier.RecordFirstAttempt(now, account, target)
+}
+
+// A request that two daemons count as a first attempt earns both of them a part of a retry. While many
+// requests are delegated, the fleet would retry more than its operators allow.
+func TestDelegatedRequestIsCountedOnce(t *testing.T) {
+	for _, reachableAtFirst := range []bool{false, true} {
+		first, second := &countedRetries{Retrier: retrier.New(retrier.Config{})}, &countedRetries{Retrier: retrier.New(retrier.Config{})}
+		other := &otherDaemon{err: delegator.ErrDeclined}
+		fake := newFakeUpstreams(t)
+		config := fake.forwarder().config
+		config.Retries, config.Delegate, config.Sender = first, other, &unreachableUpstreams{}
+		failures := 0
+		if reachableAtFirst {
+			failures = 1
+		}
+		config.Reachability = &reachability{failuresLeft: failures}
+		request := Request{
+			ID: "1", Method: "POST", Host: "a.example", Path: "/once/", Target: "/once/", Header: http.Header{}, Key: "key",
+			Body: strings.NewReader("x"), Length: 1, CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(),
+		}
+		New(config).Serve(t.Context(), httptest.NewRecorder(), &request)
+		require.Len(t, other.requests, 1)
+
+		config = fake.forwarder().config
+		config.Retries, config.Sender = second, &unreachableUpstreams{}
+		request.Body, request.Delegated, request.Counted = strings.NewReader("x"), true, other.requests[0].Counted
+		New(config).Serve(t.Context(), httptest.NewRecorder(), &request)
+		require.Equal(t, 1, first.first+second.first)
+	}
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -42,6 +42,8 @@
 	// sends counts attempts that reached an upstream, executions those in which the
 	// upstream may have executed the request.
 	sends, executions int
+	// counted is true once the request is counted as a first attempt.
+	counted bool
 	// retriesGranted counts the retries from the budget that have not reached an upstream.
 	retriesGranted int
 	tried          []registrar.Name
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -74,6 +74,8 @@
 	// Delegated is true if another daemon has sent the request, after Executions upstreams may have run it.
 	Delegated  bool
 	Executions int
+	// Counted is true if that daemon has counted it as a first attempt.
+	Counted bool
 }
 
 // Metadata is what the daemon sends to an upstream about a request, in its headers.
@@ -239,7 +241,7 @@
 // Serve forwards one request and writes the response or the refusal to w. It panics with
 // http.ErrAbortHandler if the response fails after a part of it was written.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
-	x := &exchange{forwarder: f, request: r, writer: w, sends: r.Executions, executions: r.Executions}
+	x := &exchange{forwarder: f, request: r, writer: w, sends: r.Executions, executions: r.Executions, counted: r.Counted}
 	if r.Executions > 0 {
 		x.retriesGranted = 1 // by the daemon that has delegated the request
 	}
--- a/launcher/delegate.go
+++ b/launcher/delegate.go
@@ -65,7 +65,7 @@
 		Body: bytes.NewReader(request.Body), Length: int64(len(request.Body)), Key: request.Key,
 		CallerTimeout: max(request.TimeRemaining, time.Millisecond), ReceivedAt: time.Now(),
 		PromptTokens: contractor.Tokens(request.PromptTokens), MaxOutputTokens: contractor.Tokens(request.MaxOutputTokens),
-		ResumeAfter: request.ResumeAfter, Resumes: request.Resumes, Delegated: true, Executions: max(request.Executions, 0),
+		ResumeAfter: request.ResumeAfter, Resumes: request.Resumes, Delegated: true, Executions: max(request.Executions, 0), Counted: request.Counted,
 	}
 	if f.Header == nil {
 		f.Header = make(http.Header)
