connector: a connection is not used twice for the same request

Report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that it was running, or these ran at a second upstream.

For other requests that cannot happen here: a response counts only if it carries the ID of the call, also when the refusal comes before or after the next call, or three times. It could happen to a request that meets the same upstream again on the same connection, under the same ID: the repeated refusal was taken for its response. The forwarder excludes upstreams that a request has tried, so only a caller that uses an ID again could bring it about; the pool does not rely on that any more. 'The same request again' of TestRepeatedRefusalIsNotTakenForALaterResponse failed before.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -127,6 +127,9 @@
 	// expires is the time from which an idle connection is not reused.
 	expires     time.Time
 	idleTimeout time.Duration // of the upstream
+	// lastID is the ID of the last call. A repeated response to it could not be told from that to another call with
+	// the same ID.
+	lastID string
 }
 
 // Pool holds the idle connections of a daemon to all upstreams. It is safe for concurrent
@@ -147,10 +150,11 @@
 // Send sends a call and returns the response. The caller reads its body and closes it. The
 // end of ctx aborts the call, even while the body is read. An error is a *CallError.
 func (p *Pool) Send(ctx context.Context, address netip.AddrPort, call *Call) (*Response, error) {
-	c, err := p.acquire(ctx, address)
+	c, err := p.acquire(ctx, address, call.ID)
 	if err != nil {
 		return nil, &CallError{ConnectFailed: true, Step: "connect", Peer: address, Err: err}
 	}
+	c.lastID = call.ID
 	r := &Response{pool: p, address: address, connection: c}
 	r.stop = context.AfterFunc(ctx, func() {
 		// An error means that the connection is closed already.
@@ -168,10 +172,10 @@
 	return r, nil
 }
 
-// acquire returns an idle connection or a new one.
-func (p *Pool) acquire(ctx context.Context, address netip.AddrPort) (*connection, error) {
+// acquire returns an idle connection whose last call had another ID, or a new one.
+func (p *Pool) acquire(ctx context.Context, address netip.AddrPort, id string) (*connection, error) {
 	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
-		if time.Now().Before(c.expires) && noPendingInput(c) {
+		if c.lastID != id && time.Now().Before(c.expires) && noPendingInput(c) {
 			return c, nil
 		}
 		c.Close()
