framer, forwarder: another response inside a stream breaks it off

Report of other operators: a stream had begun and broke off, the next upstream answered with an error, and callers found its text or whole head in their stream, or the stream ended as if complete.

Errors of the next upstream stay out here: thirteen kinds in TestErrorOfNextUpstreamStaysOutOfStream pass on the code before. A head that is written into the body of a stream did reach the caller, after the events or after an unfinished one, and the stream then ended as complete: the head ends with a blank line, as an event does, and where a body ends with its connection nothing else shows that it is none. Four of the seventeen cases failed, each both with and without an upstream that continues the stream.

framer.ForeignHead finds the status line of a response that begins a line, stands behind a part of a field name, or is followed by a header. Data that describes HTTP goes through: other fields follow it. The stream is then resumed after the event before, or breaks off.

--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -57,9 +57,17 @@
 		pending = append(pending, buffer[:n]...)
 		if complete := framer.CompleteEvents(pending); complete > 0 {
 			started = true
-			if !x.forwardEvents(response, pending[:complete]) {
+			head := framer.ForeignHead(pending[:complete])
+			if head >= 0 {
+				complete = head
+			}
+			if complete > 0 && !x.forwardEvents(response, pending[:complete]) {
 				return x.responseFailure(errCallerDisconnected)
 			}
+			if head >= 0 {
+				x.recordBrokenStream(response, framer.ErrForeignHead)
+				return x.responseFailure(framer.ErrForeignHead)
+			}
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
