--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -80,8 +80,8 @@
 	// SecondSendEnded is logged when one of the two sends of a request has delivered its response and
 	// the other one is cancelled.
 	SecondSendEnded Code = 2410
-	// RetriesUsed is logged at most once per second and target while attempts are retried.
-	RetriesUsed Code = 2411
+	// RetryBudgetUsed is logged at most once per second and target while attempts are retried.
+	RetryBudgetUsed Code = 2411
 	// RetryUnbudgeted is logged when a request reaches another upstream without a retry from the budget.
 	RetryUnbudgeted Code = 2412
 	// SoftwareUncertain is logged when software versions that this daemon does not know may have
@@ -121,7 +121,7 @@
 	UpstreamSpeed:       "upstream_speed",
 	SecondSendsPaused:   "second_sends_paused",
 	SecondSendEnded:     "second_send_ended",
-	RetriesUsed:         "retries_used",
+	RetryBudgetUsed:     "retry_budget_used",
 	RetryUnbudgeted:     "retry_unbudgeted",
 	ReportDistrusted:    "report_distrusted",
 	RequestRefused:      "request_refused",
--- a/retrier/usage.go
+++ b/retrier/usage.go
@@ -55,6 +55,6 @@
 	if now.Sub(u.since) < usageInterval {
 		return
 	}
-	rec.Event(recorder.RetriesUsed, "target", target, "first", u.first, "granted", u.granted, "refused", u.refused, "since", now.Sub(u.since))
+	rec.Event(recorder.RetryBudgetUsed, "target", target, "first", u.first, "granted", u.granted, "refused", u.refused, "since", now.Sub(u.since))
 	*u = usage{since: now}
 }
