soaker: a fleet retries no more than allowed while a service rejects

The soak now ends with two seconds in which all upstreams of the desk reject, and counts repeats by the users' rule.

--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -49,6 +49,12 @@
 	At    time.Time
 }
 
+// RunnerArrival is a request that reached a Runner.
+type RunnerArrival struct {
+	ID string
+	At time.Time
+}
+
 // RunnerConfig describes a Runner.
 type RunnerConfig struct {
 	// Name is compared with the Expected-Runner header of requests that have one.
@@ -74,7 +80,7 @@
 	mu         sync.Mutex
 	faults     []RunnerFault
 	executions []RunnerExecution
-	arrivals   []time.Time
+	arrivals   []RunnerArrival
 	// limit is the request limit that responses state, or negative.
 	limit float64
 	// coldUntil is the end of the warm-up. A cold runner crashes when maxCold requests arrive within one
@@ -125,15 +131,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := len(r.arrivals)
-	if !time.Now().Before(r.coldUntil) || n <= r.maxCold || r.arrivals[n-1].Sub(r.arrivals[n-1-r.maxCold]) >= time.Second {
+	if !time.Now().Before(r.coldUntil) || n <= r.maxCold || r.arrivals[n-1].At.Sub(r.arrivals[n-1-r.maxCold].At) >= time.Second {
 		return false
 	}
 	r.overloads++
 	return true
 }
 
-// Arrivals returns the times of all requests since the start, also of those that were rejected.
-func (r *Runner) Arrivals() []time.Time {
+// Arrivals returns all requests since the start, also those that were rejected.
+func (r *Runner) Arrivals() []RunnerArrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.arrivals)
@@ -143,7 +149,7 @@
 func (r *Runner) arrive(h http.Header, request *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, time.Now())
+	r.arrivals = append(r.arrivals, RunnerArrival{ID: request.Header.Get("Attempt-Id"), At: time.Now()})
 	h.Set("Attempt-Id", request.Header.Get("Attempt-Id"))
 	if left := time.Until(r.coldUntil); left > 0 {
 		h.Set("Warmup-Ms", strconv.FormatInt(left.Milliseconds(), 10))
--- a/soaker/daemon.go
+++ b/soaker/daemon.go
@@ -70,12 +70,12 @@
 bandwidthMbps = 1000.0
 [ruleParams]
 graceS = 8
-retryRatio = 0.2
-retryWindowS = 2
-retryAllowance = 50
+retryRatio = %v
+retryWindowS = %v
+retryAllowance = %d
 [platform]
 address = %q
-`, d.name, ip, d.frontend, net.JoinHostPort(ip, "18001"), p.address)
+`, d.name, ip, d.frontend, net.JoinHostPort(ip, "18001"), retryRatio, retryWindow.Seconds(), retryAllowance(c.Daemons), p.address)
 	return d, os.WriteFile(d.settingsPath(), []byte(settings), 0o600)
 }
 
--- a/soaker/limit.go
+++ b/soaker/limit.go
@@ -51,12 +51,12 @@
 func (u *limitedUpstream) busiestWindow(begin time.Time) int {
 	arrivals, most := u.Arrivals(), 0
 	for i, first := range arrivals {
-		if first.Before(begin) {
+		if first.At.Before(begin) {
 			continue
 		}
 		n := 0
-		for _, at := range arrivals[i:] {
-			if at.Sub(first) < limitWindow {
+		for _, a := range arrivals[i:] {
+			if a.At.Sub(first.At) < limitWindow {
 				n++
 			}
 		}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -16,6 +16,7 @@
 //   - a stream holds events of one version of the upstreams' software, also if its caller resumes it
 //     at another daemon;
 //   - an upstream that states a request limit gets no more from all daemons together;
+//   - when all upstreams of a service reject requests, all daemons together retry no more than allowed;
 //   - requests with a prompt part that crashes engines are soon refused by every daemon, and the
 //     others served.
 //
@@ -129,6 +130,7 @@
 	}
 	s.checkLimits(ctx)
 	s.checkQuarantine(ctx)
+	s.checkRetries(ctx)
 	return s.report(), ctx.Err()
 }
 
