--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -208,8 +208,8 @@
 	target  string
 }
 
-// budget is the token bucket of an account.
-type budget struct {
+// accountBudget is the token bucket of an account.
+type accountBudget struct {
 	retries         float64
 	reserve         float64
 	reserveRefilled time.Time
@@ -217,7 +217,7 @@
 
 type shard struct {
 	mu      sync.Mutex
-	budgets map[accountKey]*budget
+	budgets map[accountKey]*accountBudget
 }
 
 // Retrier decides whether attempts are retried. It is safe for concurrent use.
@@ -226,53 +226,51 @@
 	seed   maphash.Seed
 	shards [shardCount]shard
 	fleet  fleetSize
-	usage  usageLog
 
 	mu      sync.RWMutex
-	targets map[string]*target
+	targets map[string]*targetBudget
 }
 
 // New returns a retrier. Its budgets are empty except for the reserves and the allowance.
 func New(c Config) *Retrier {
-	r := &Retrier{config: c.withDefaults(), seed: maphash.MakeSeed(), targets: make(map[string]*target)}
+	r := &Retrier{config: c.withDefaults(), seed: maphash.MakeSeed(), targets: make(map[string]*targetBudget)}
 	for i := range r.shards {
-		r.shards[i].budgets = make(map[accountKey]*budget)
+		r.shards[i].budgets = make(map[accountKey]*accountBudget)
 	}
 	return r
 }
 
 // RecordFirstAttempt records the first attempt of a request, which adds to the budgets.
 func (r *Retrier) RecordFirstAttempt(now time.Time, account contractor.Account, target string) {
-	r.usage.countFirst(target)
 	r.fleet.sample(now, &r.config)
-	r.target(target).recordFirst(now, &r.config)
-	r.updateAccount(accountKey{account, target}, func(b *budget) {
+	r.budgetOf(target).recordFirst(now, &r.config)
+	r.updateAccount(accountKey{account, target}, func(b *accountBudget) {
 		b.retries = min(b.retries+r.config.AccountRatio, r.config.Burst)
 	})
 }
 
-// target returns the budget of a target.
-func (r *Retrier) target(name string) *target {
+// budgetOf returns the budget of a target.
+func (r *Retrier) budgetOf(target string) *targetBudget {
 	r.mu.RLock()
-	b := r.targets[name]
+	b := r.targets[target]
 	r.mu.RUnlock()
 	if b != nil {
 		return b
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if b = r.targets[name]; b != nil {
+	if b = r.targets[target]; b != nil {
 		return b
 	}
 	if len(r.targets) >= maxTargets {
 		clear(r.targets)
 	}
-	b = &target{}
-	r.targets[name] = b
+	b = &targetBudget{}
+	r.targets[target] = b
 	return b
 }
 
-func (r *Retrier) updateAccount(key accountKey, change func(*budget)) {
+func (r *Retrier) updateAccount(key accountKey, change func(*accountBudget)) {
 	s := &r.shards[maphash.Comparable(r.seed, key)%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -281,7 +279,7 @@
 		if len(s.budgets) >= maxBudgetsPerShard {
 			clear(s.budgets)
 		}
-		b = &budget{reserve: reserveRetries}
+		b = &accountBudget{reserve: reserveRetries}
 		s.budgets[key] = b
 	}
 	change(b)
@@ -297,7 +295,7 @@
 		r.config.Recorder.Count("not_retried."+d.Reason.String(), 1)
 	}
 	if d.Retry || d.Reason == BudgetExhausted {
-		r.usage.countRetry(now, target, d.Retry, r.config.Recorder)
+		r.budgetOf(target).recordDecision(now, target, d.Retry, &r.config)
 	}
 	return d
 }
@@ -355,12 +353,12 @@
 	if afterCrash {
 		share = r.fleet.share(now, &r.config)
 	}
-	t := r.target(target)
+	t := r.budgetOf(target)
 	if !t.take(now, &r.config, share, 0) {
 		return false
 	}
 	taken := false
-	r.updateAccount(accountKey{account, target}, func(b *budget) { taken = b.take(now, afterCrash) })
+	r.updateAccount(accountKey{account, target}, func(b *accountBudget) { taken = b.take(now, afterCrash) })
 	if !taken {
 		t.giveBack(now, &r.config)
 	}
@@ -374,12 +372,12 @@
 // TakeSecondSend takes one retry from the budgets for a second send of a request that has not failed. It leaves
 // one to each budget, because retries of failed requests are needed more.
 func (r *Retrier) TakeSecondSend(now time.Time, account contractor.Account, target string) bool {
-	t := r.target(target)
+	t := r.budgetOf(target)
 	if r.isFirstWindow(now) || !t.take(now, &r.config, 0, 1) {
 		return false
 	}
 	taken := false
-	r.updateAccount(accountKey{account, target}, func(b *budget) {
+	r.updateAccount(accountKey{account, target}, func(b *accountBudget) {
 		if taken = b.retries >= 2; taken {
 			b.retries--
 		}
@@ -392,11 +390,11 @@
 
 // ReturnSecondSend gives back what TakeSecondSend has taken for a send that was not made.
 func (r *Retrier) ReturnSecondSend(now time.Time, account contractor.Account, target string) {
-	r.target(target).giveBack(now, &r.config)
-	r.updateAccount(accountKey{account, target}, func(b *budget) { b.retries = min(b.retries+1, r.config.Burst) })
+	r.budgetOf(target).giveBack(now, &r.config)
+	r.updateAccount(accountKey{account, target}, func(b *accountBudget) { b.retries = min(b.retries+1, r.config.Burst) })
 }
 
-func (b *budget) take(now time.Time, useReserve bool) bool {
+func (b *accountBudget) take(now time.Time, useReserve bool) bool {
 	if b.retries >= 1 {
 		b.retries--
 		return true
