gauger, messenger: two tests do not depend on the speed of the machine

TestBytesOfConnectionsAreCounted: the server reported its end before its deferred Close ran, so the connection could still count as open. It closes first now.

TestDeadlineReachesTheHandler: the deadline of 50 ms included the handshake, which took longer ('greet: ... canceled by local', sent: false), so the handler was never called. A first call connects now, the deadline is 1 s, and the cancellation waits for the handler instead of 20 ms. What is required of errors and handlers is the same.

--- a/gauger/gauger_test.go
+++ b/gauger/gauger_test.go
@@ -78,8 +78,8 @@
 			done <- err
 			return
 		}
-		defer accepted.Close()
 		_, err = io.CopyN(accepted, accepted, 400) // back to the sender
+		accepted.Close()
 		done <- err
 	}()
 	dial := client.Dialer(func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/messenger/quic_test.go
+++ b/messenger/quic_test.go
@@ -232,23 +232,31 @@
 // the caller has cancelled the call.
 func TestDeadlineReachesTheHandler(t *testing.T) {
 	f := newFleet(t)
-	ended := make(chan error, 1)
+	begun, ended := make(chan struct{}, 1), make(chan error, 1)
 	a := f.start("vm-a", nil)
 	b := f.start("vm-b", func(c *QUICConfig) {
 		Handle(c.Mux, methodWait, func(ctx context.Context, _ Peer, _ *text) (*text, error) {
+			begun <- struct{}{}
 			<-ctx.Done()
 			ended <- ctx.Err()
 			return nil, ctx.Err()
 		})
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	// The first call connects, which takes longer than a short deadline on a busy machine.
+	_, err := Call[text, text](context.Background(), a, b.Self(), methodFail, &text{})
+	requirePossiblyExecuted(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_, err := Call[text, text](ctx, a, b.Self(), methodWait, &text{})
+	_, err = Call[text, text](ctx, a, b.Self(), methodWait, &text{})
 	requirePossiblyExecuted(t, err)
+	<-begun
 	require.Error(t, <-ended)
 
 	ctx, cancel = context.WithCancel(context.Background())
-	time.AfterFunc(20*time.Millisecond, cancel)
+	go func() {
+		<-begun
+		cancel()
+	}()
 	_, err = Call[text, text](ctx, a, b.Self(), methodWait, &text{})
 	requirePossiblyExecuted(t, err)
 	require.ErrorIs(t, err, context.Canceled)
