retrier: the largest fleet of the last hour shares the allowance

What callers would see: nothing; upstreams of a failing service get more retries than operators allow (BUDGET).

Cause: a daemon divides the fleet's allowance by the largest fleet that it has known in the last window of 10 s. Daemons that are partitioned from the store are removed from the members after some 20 s, but serve on, with the fleet that they know. The others then divide by those that are left.

Change: a larger size of the fleet counts for an hour. It is sampled each second, not only with requests.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -178,6 +178,7 @@
 	pool                    *connector.Pool
 	link                    *gauger.Gauger
 	admitter                *admitter.Admitter
+	retrier                 *retrier.Retrier
 	monitor                 *delegator.Monitor
 	combiner                *combiner.Combiner
 	store                   *relayer.Store
@@ -265,12 +266,13 @@
 		OwnLoad: d.ownLoad,
 		Probe:   func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 	})
+	d.retrier = retrier.New(s.retryConfig(time.Now(), d.knownMembers, rec))
 	d.forwarder = forwarder.New(forwarder.Config{
 		Hedger:    hedger.New(hedger.Config{Share: c.HedgeShare, Quantile: c.HedgeQuantile, Recorder: rec}),
 		Admission: d.admitter, Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
-		Retries:        retrier.New(s.retryConfig(time.Now(), d.knownMembers, rec)),
+		Retries:        d.retrier,
 		ResponseMemory: min(s.MemoryLimit/responseMemoryDivisor, maxResponseMemory),
 		RegionOf:       s.regionOf, SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
 	})
@@ -461,6 +463,7 @@
 			return
 		case now := <-t.C:
 			d.registrar.Expire()
+			d.retrier.ObserveFleet(now)
 			d.maintainEvacuations(ctx, now)
 			d.dropRemovedUpstreams()
 			d.pool.SetMaxIdle(d.maxIdleConnections())
--- a/launcher/retry_test.go
+++ b/launcher/retry_test.go
@@ -37,6 +37,8 @@
 	rolling  time.Duration   // between restarts of single daemons, if not zero
 	// oneKnown is how long after its start a daemon knows no other one.
 	oneKnown time.Duration
+	// members returns how many daemons the i-th one knows, and whether it knows them. Nil means all.
+	members func(i int, at time.Duration) (count int, registered bool)
 }
 
 type span struct{ from, until time.Duration }
@@ -73,6 +75,9 @@
 		if f.now-f.startedAt[i] < f.scenario.oneKnown {
 			return 1, true
 		}
+		if f.scenario.members != nil {
+			return f.scenario.members(i, f.now)
+		}
 		return len(f.retriers), true
 	}
 	settings := Settings{RetryRatio: retryTestRatio, RetryWindow: retryTestWindow, RetryAllowance: f.scenario.allowance}
@@ -94,6 +99,9 @@
 		if r := f.scenario.rolling; r > 0 && before/r != f.now/r {
 			f.restart(int(f.now/r) % len(f.retriers))
 		}
+		for _, r := range f.retriers {
+			r.ObserveFleet(f.start.Add(f.now))
+		}
 		if f.now < retryTestWindow {
 			continue
 		}
@@ -166,6 +174,16 @@
 		}
 		return 350
 	}
+	// A third of the daemons no longer reach the store from 15 s on. The others remove them from the members 20 s later.
+	partitioned := func(daemons int) func(int, time.Duration) (int, bool) {
+		return func(i int, at time.Duration) (int, bool) {
+			if i%3 == 0 || at < 35*time.Second {
+				return daemons, true
+			}
+			return daemons * 2 / 3, true
+		}
+	}
+	later := []span{{46 * time.Second, 60 * time.Second}}
 	scenarios := []retryScenario{
 		{name: "8 daemons, rejected", daemons: 8, allowance: 56, rate: steadyRate(120), failing: once, failure: rejected},
 		{name: "8 daemons, crashed", daemons: 8, allowance: 56, rate: steadyRate(120), failing: once, failure: crashed},
@@ -179,6 +197,8 @@
 		{name: "64 daemons, restart in turn", daemons: 64, allowance: 168, rate: steadyRate(350), failing: series, failure: crashed, rolling: 200 * time.Millisecond},
 		{name: "64 daemons, others not known at first", daemons: 64, allowance: 168, rate: steadyRate(350), failing: once, failure: crashed,
 			restarts: []time.Duration{30 * time.Second}, oneKnown: 25 * time.Second},
+		{name: "78 daemons, a third partitioned from the store", daemons: 78, allowance: 196, rate: steadyRate(60), failing: later, failure: crashed, members: partitioned(78)},
+		{name: "295 daemons, a third partitioned from the store", daemons: 295, allowance: 630, rate: steadyRate(160), failing: later, failure: crashed, members: partitioned(295)},
 		{name: "91 daemons, crashed", daemons: 91, allowance: 222, rate: steadyRate(350), failing: once, failure: crashed},
 		{name: "295 daemons, crashed", daemons: 295, allowance: 630, rate: steadyRate(1200), failing: once, failure: crashed},
 		{name: "295 daemons, rejected", daemons: 295, allowance: 630, rate: steadyRate(300), failing: series, failure: rejected},
--- a/retrier/fleet.go
+++ b/retrier/fleet.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// fleetSize is the largest number of daemons that this one has known in the last Config.Window. Those that have
-// ended since may have used their shares of the allowance.
+// fleetSize is the largest number of daemons that this one has known within fleetRetention.
 type fleetSize struct {
 	mu        sync.Mutex
 	sampledAt time.Time
@@ -17,6 +16,10 @@
 const (
 	// fleetSampleInterval is the minimum time between two samples of the fleet's size.
 	fleetSampleInterval = time.Second
+	// fleetRetention is how long a larger size of the fleet counts. Daemons that are partitioned from the
+	// store are no longer known after seconds, but go on to use their shares of the allowance. Partitions
+	// last up to an hour.
+	fleetRetention = time.Hour
 	// maxShare is the maximum share of the allowance of one daemon, which may know only few of the others.
 	maxShare = 3
 )
@@ -33,7 +36,7 @@
 	}
 	f.sampledAt = now
 	members, known := c.Members()
-	if known && (members >= f.peak || now.Sub(f.peakAt) > c.Window) {
+	if known && (members >= f.peak || now.Sub(f.peakAt) > fleetRetention) {
 		f.peak, f.peakAt = members, now
 	}
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -242,13 +242,15 @@
 
 // RecordFirstAttempt records the first attempt of a request, which adds to the budgets.
 func (r *Retrier) RecordFirstAttempt(now time.Time, account contractor.Account, target string) {
-	r.fleet.sample(now, &r.config)
 	r.budgetOf(target).recordFirst(now, &r.config)
 	r.updateAccount(accountKey{account, target}, func(b *accountBudget) {
 		b.retries = min(b.retries+r.config.AccountRatio, r.config.Burst)
 	})
 }
 
+// ObserveFleet samples the size of the fleet. It has to be called about once a second, also without requests.
+func (r *Retrier) ObserveFleet(now time.Time) { r.fleet.sample(now, &r.config) }
+
 // budgetOf returns the budget of a target.
 func (r *Retrier) budgetOf(target string) *targetBudget {
 	r.mu.RLock()
