launcher, forwarder: a stopping daemon answers all requests

What callers saw, by a report of other operators and here in a test: requests that a stopping daemon had taken ended without an answer, among them such that may not be repeated.

Cause: a request was passed on whatever it had left of the grace period, and the process ended with the requests in flight (first and second way). http.Server.Shutdown closes a connection whose request it has just read, if that is the first one there, so a late caller got no answer although nothing had run (third way).

Change: - A request that may outlast the daemon is refused as not run before it is passed on, at each attempt: if it may run once only at any time, others once no connections are accepted. While they are, streams with time limits of 12 s would all be refused, though nearly all end in time; they may be resumed elsewhere. - The requests in flight 0.9 s before the end of the grace period are ended with 502, or 503 if they have not run. - A server that drains closes its listener and idle connections, and answers what still arrives on the others.

Ruled out: handing late requests to another daemon, since this one would have to relay the response and ends as well.

The emulated upstream has a time of work for it.

--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -63,6 +63,8 @@
 	Events int
 	// EventInterval is the time between two events.
 	EventInterval time.Duration
+	// WorkTime is the time from the arrival of a request to the start of its response.
+	WorkTime time.Duration
 	// CrashPart is the ID of a prompt part. The runner crashes when it starts to answer a
 	// request with that part, and is back after CrashDowntime. Empty means no part.
 	CrashPart     string
@@ -224,6 +226,9 @@
 	if r.crashesOn(request) {
 		r.crash(w)
 	}
+	if sleeper.Sleep(request.Context(), r.config.WorkTime) != nil {
+		return // the client has disconnected
+	}
 	r.respond(w, request, fault)
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -45,6 +45,9 @@
 		if attempt > 1 && x.unreachable() {
 			return x.finalRefusal(noUpstream()) // Serve delegates the request
 		}
+		if refusal := x.refuseStopping(); refusal != nil {
+			return x.finalRefusal(refusal)
+		}
 		if refusal := x.checkQuarantine(ctx); refusal != nil {
 			return x.finalRefusal(refusal)
 		}
@@ -153,14 +156,17 @@
 	return refusal
 }
 
-// contextRefusal returns the refusal for a caller that disconnected or a deadline that
-// passed.
+// contextRefusal returns the refusal for a caller that disconnected, a deadline that passed or a
+// daemon that stops.
 func (x *exchange) contextRefusal(ctx context.Context, choice balancer.Choice) *refuser.Refusal {
-	reason := refuser.Cancelled
-	if errors.Is(context.Cause(ctx), errDeadline) {
-		reason = refuser.DeadlineExceeded
+	refusal := refuser.New(refuser.Cancelled, "forward")
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errDeadline):
+		refusal = refuser.New(refuser.DeadlineExceeded, "forward")
+	case errors.Is(cause, ErrStopping):
+		refusal = refuser.New(refuser.Stopping, "forward").WithRetryAfter(stoppingRetryAfter)
 	}
-	return x.finalRefusal(refuser.New(reason, "forward").WithPeer(string(choice.Upstream.Name)).WithCause(context.Cause(ctx)))
+	return x.finalRefusal(refusal.WithPeer(string(choice.Upstream.Name)).WithCause(context.Cause(ctx)))
 }
 
 func (x *exchange) query() balancer.Query {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -129,6 +129,9 @@
 		return refuser.New(refuser.NoUpstream, "route").WithRetryAfter(unavailableRetryAfter).WithDetail("route %q selects a service that is not configured", route.Name)
 	}
 	x.setDeadline()
+	if refusal := x.refuseStopping(); refusal != nil {
+		return refusal
+	}
 	return x.refuseUnpermitted()
 }
 
--- a/launcher/delegate.go
+++ b/launcher/delegate.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"context"
-	"errors"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -34,7 +32,7 @@
 }
 
 // serveDelegated returns the server for delegated requests, or nil if there is no port for it.
-func (d *Daemon) serveDelegated() (*http.Server, error) {
+func (d *Daemon) serveDelegated() (*drainableServer, error) {
 	address := d.config.Settings.delegateAddress()
 	if !address.IsValid() {
 		return nil, nil
@@ -44,17 +42,17 @@
 		d.config.Recorder.Event(recorder.DelegationFailed, "step", "listen", "err", err)
 		return nil, err
 	}
-	server := &http.Server{
-		Handler: delegator.Handler(d.handleDelegated), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
-		ErrorLog: d.config.Recorder.HTTPErrorLog("delegate"),
-	}
-	go d.serve(server, d.link.Listener(listener))
+	server := newDrainableServer(&http.Server{
+		Handler: delegator.Handler(d.handleDelegated), BaseContext: d.requestContext,
+		ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout, ErrorLog: d.config.Recorder.HTTPErrorLog("delegate"),
+	}, d.link.Listener(listener))
+	go d.serve(server.Server, server.listener)
 	return server, nil
 }
 
 // handleDelegated serves a request that another daemon has sent. A stopping daemon declines it.
 func (d *Daemon) handleDelegated(w http.ResponseWriter, r *http.Request, request *delegator.Request) {
-	if d.stopping.Load() {
+	if d.lifetime.stopping() {
 		delegator.Decline(w)
 		return
 	}
@@ -75,25 +73,3 @@
 	}
 	d.forwarder.Serve(r.Context(), w, f)
 }
-
-// shutDown completes the requests in flight of servers until ctx ends, after which they end with the
-// process. A server may be nil.
-func shutDown(ctx context.Context, servers ...*http.Server) error {
-	results := make(chan error, len(servers))
-	for _, s := range servers {
-		go func() {
-			if s == nil {
-				results <- nil
-				return
-			}
-			results <- s.Shutdown(ctx)
-		}()
-	}
-	var failed error
-	for range servers {
-		if err := <-results; !errors.Is(err, context.DeadlineExceeded) {
-			failed = errors.Join(failed, err)
-		}
-	}
-	return failed
-}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -195,9 +195,12 @@
 	// dropRemovedUpstreams.
 	cleanedGeneration int64
 
-	stopping   atomic.Bool
-	saturation linkSaturation
-	ready      atomic.Bool
+	lifetime lifetime
+	// requests is the context of all requests of callers and other daemons. endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	saturation  linkSaturation
+	ready       atomic.Bool
 }
 
 // New returns a daemon. Run starts it.
@@ -206,6 +209,7 @@
 		c.Listen = listen
 	}
 	d := &Daemon{config: c, activeTable: &resolver.ActiveTable{}, severalVersions: make(map[resolver.ServiceName]bool), softwareLoaded: make(chan struct{})}
+	d.requests, d.endRequests = context.WithCancelCause(context.Background())
 	s, rec := c.Settings, c.Recorder
 	d.incarnation = contractor.Incarnation(rand.Uint64())
 	d.link = gauger.New(gauger.Config{BytesPerSecond: s.LinkBytesPerSecond})
@@ -273,6 +277,7 @@
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
 		Retries:        d.retrier,
+		Lifetime:       &d.lifetime,
 		ResponseMemory: min(s.MemoryLimit/responseMemoryDivisor, maxResponseMemory),
 		RegionOf:       s.regionOf, SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
 	})
@@ -514,7 +519,7 @@
 func (d *Daemon) updateReadiness() {
 	ready := d.isReady()
 	if d.ready.Swap(ready) != ready {
-		d.config.Recorder.Event(recorder.ReadinessChanged, "ready", ready, "stopping", d.stopping.Load(), "crowded", d.saturation.saturated.Load(),
+		d.config.Recorder.Event(recorder.ReadinessChanged, "ready", ready, "stopping", d.lifetime.stopping(), "crowded", d.saturation.saturated.Load(),
 			"configuration", d.activeTable.Table() != nil, "upstreams", d.upstreamReplicator.Loaded(), "shares", d.shares.Joined())
 	}
 }
@@ -524,7 +529,7 @@
 // accounts, shares of their balances. How old these are does not matter.
 func (d *Daemon) isReady() bool {
 	table := d.activeTable.Table()
-	if d.stopping.Load() || d.saturation.saturated.Load() || table == nil || !d.upstreamReplicator.Loaded() {
+	if d.lifetime.stopping() || d.saturation.saturated.Load() || table == nil || !d.upstreamReplicator.Loaded() {
 		return false
 	}
 	return !table.HasAccounts() || d.shares.Joined()
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -45,7 +45,9 @@
 	attempts atomic.Int64
 
 	storeAddress string
-	descriptors  int          // limit of the daemon that is started next
+	descriptors  int // limit of the daemon that is started next
+	gracePeriod  time.Duration
+	process      *processListener
 	metrics      net.Listener // of the daemon that is started next, or nil
 }
 
@@ -60,12 +62,18 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{
-		t: t, store: emulator.NewStore(emulator.StoreConfig{}), ended: make(chan error, 1),
-		desk:  emulator.NewRunner(emulator.RunnerConfig{Name: "i-desk"}),
-		model: emulator.NewRunner(emulator.RunnerConfig{Name: "i-model", Events: 6}),
-		front: listenLoopback(t), ready: listenLoopback(t),
-	}
+	return startFixture(t, &fixture{
+		desk:        emulator.NewRunner(emulator.RunnerConfig{Name: "i-desk"}),
+		model:       emulator.NewRunner(emulator.RunnerConfig{Name: "i-model", Events: 6}),
+		gracePeriod: time.Minute,
+	})
+}
+
+// startFixture starts a fixture with the given upstreams.
+func startFixture(t *testing.T, f *fixture) *fixture {
+	t.Helper()
+	f.t, f.store, f.ended = t, emulator.NewStore(emulator.StoreConfig{}), make(chan error, 1)
+	f.front, f.ready = listenLoopback(t), listenLoopback(t)
 	f.configure(1, "")
 	f.addUpstream("i-desk", "desk", f.desk)
 	f.addUpstream("i-model", "model", f.model)
@@ -83,7 +91,8 @@
 		Address: f.storeAddress, CallTimeout: 5 * time.Second,
 		PollTimeout: func() time.Duration { return 200 * time.Millisecond },
 	})
-	listeners := map[netip.AddrPort]net.Listener{addressOf(f.front): f.front, addressOf(f.ready): f.ready}
+	f.process = &processListener{Listener: f.front}
+	listeners := map[netip.AddrPort]net.Listener{addressOf(f.front): f.process, addressOf(f.ready): f.ready}
 	metrics := netip.AddrPort{}
 	if f.metrics != nil {
 		metrics = addressOf(f.metrics)
@@ -92,7 +101,7 @@
 	daemon := launcher.New(launcher.Config{
 		MetricsAddress: metrics,
 		Settings: launcher.Settings{
-			Name: "edge-1", Zone: "z", FrontendAddress: addressOf(f.front), ReadinessAddress: addressOf(f.ready), RetryRatio: 10, GracePeriod: time.Minute,
+			Name: "edge-1", Zone: "z", FrontendAddress: addressOf(f.front), ReadinessAddress: addressOf(f.ready), RetryRatio: 10, GracePeriod: f.gracePeriod,
 			Descriptors:     f.descriptors,
 			WarmupOvershoot: 1.5, WarmupAllowance: 5,
 		},
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -9,8 +9,10 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"laburnumline/forwarder"
 	"laburnumline/recorder"
 	"laburnumline/resolver"
+	"laburnumline/sleeper"
 )
 
 const (
@@ -22,6 +24,9 @@
 	leaveMargin = 900 * time.Millisecond
 	// leaveTimeout limits that round.
 	leaveTimeout = 500 * time.Millisecond
+	// answerTimeout is how long a daemon waits for the responses to the requests that it ends when it stops.
+	// It is a part of leaveMargin, like leaveTimeout.
+	answerTimeout = 200 * time.Millisecond
 )
 
 // serveReadinessAndMetrics starts the servers for readiness checks and, if configured, for
@@ -52,7 +57,7 @@
 	return server, nil
 }
 
-func (d *Daemon) serveFrontend() (*http.Server, error) {
+func (d *Daemon) serveFrontend() (*drainableServer, error) {
 	limits := resolver.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	if table := d.activeTable.Table(); table != nil {
 		limits = table.Limits()
@@ -63,34 +68,40 @@
 	}
 	next := d.config.Adapter.NewHandler(d.forwarder)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.stopping.Load() || d.saturation.saturated.Load() {
+		if d.lifetime.stopping() || d.saturation.saturated.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
 	})
-	server := &http.Server{
+	server := newDrainableServer(&http.Server{
 		Handler:           d.resetIfIncomplete(handler),
+		BaseContext:       d.requestContext,
 		ConnContext:       withConnection,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout + idleMargin,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ErrorLog:          d.config.Recorder.HTTPErrorLog("front"),
-	}
-	go d.serve(server, d.link.Listener(listener))
+	}, d.link.Listener(listener))
+	go d.serve(server.Server, server.listener)
 	return server, nil
 }
 
+// requestContext returns the context of which those of all requests are derived.
+func (d *Daemon) requestContext(net.Listener) context.Context { return d.requests }
+
 // stop shuts the daemon down: it waits until the platform sends new connections to other
 // daemons, completes the requests in flight, and returns the rest of the shares to the store.
-func (d *Daemon) stop(servers ...*http.Server) error {
+// Requests that are not complete by then are ended with a refusal.
+func (d *Daemon) stop(servers ...*drainableServer) error {
 	grace := max(d.config.Settings.GracePeriod-leaveMargin, 0)
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	now := time.Now()
+	d.lifetime.stop(now.Add(min(drainDelay, grace/2)), now.Add(grace))
+	defer time.AfterFunc(grace, func() { d.endRequests(forwarder.ErrStopping) }).Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), grace+answerTimeout)
 	defer cancel()
-	d.stopping.Store(true)
 	d.config.Recorder.Event(recorder.DaemonStopping, "vm", d.config.Settings.Name, "grace", d.config.Settings.GracePeriod)
-	drain := time.NewTimer(min(drainDelay, grace/2))
-	defer drain.Stop()
-	<-drain.C
+	// The context ends later than the drain.
+	_ = sleeper.Sleep(ctx, min(drainDelay, grace/2))
 	err := shutDown(ctx, servers...)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
@@ -102,7 +113,7 @@
 // serve runs a server until it is closed. Any other end is logged.
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
 	err := server.Serve(listener)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		d.config.Recorder.Event(recorder.DaemonFailed, "address", listener.Addr(), "err", err)
 	}
 }
