registrar, forwarder: an unknown stream goes on only after the software history was read

What callers saw, by a report of other operators and here in a test: a stream that had begun at one software version of the upstreams went on at another one (ORDER).

Cause: a daemon lets an unknown stream go on if its list of upstreams shows one version only, and believes the list for 3 s after the store has confirmed it. A daemon that is cut off for less than that, or whose list comes from a relay that stood still, does not know a version that began streams meanwhile, and gets no answer from the daemons that know the stream.

Change: before an unknown stream goes on, the daemon reads the stored history, in which each version is before it begins streams. The read begins after the request has arrived; requests share reads. If it fails, the caller gets 503.

Not reproduced: daemons that stand still, then handle what waited, with or without crashes of others.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -181,6 +181,8 @@
 	// Reachability and Delegate may be nil, in which case the daemon sends all requests itself.
 	Reachability Reachability
 	Delegate     Delegate
+	// Software may be nil, in which case the list of Upstreams is always up to date.
+	Software SoftwareChecker
 	// Lifetime may be nil, in which case the daemon does not stop.
 	Lifetime Lifetime
 	// ResponseMemory limits the bytes of responses that are buffered beyond the first ones of each. Zero
--- /dev/null
+++ b/forwarder/outofstep_test.go
@@ -0,0 +1,63 @@
+package forwarder
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// While a version of the upstreams' software is new, some daemons are out of step for some seconds. Streams of the new
+// version break off, and their callers resume them at these, which know the old version only and must not continue
+// them there.
+func TestStreamIsNotJoinedAtADaemonOutOfStep(t *testing.T) {
+	const from, until = 4900 * time.Millisecond, 7700 * time.Millisecond
+	apart := func(how apartness) func(int, time.Duration) (apartness, time.Duration) {
+		return func(i int, age time.Duration) (apartness, time.Duration) {
+			if i%3 != 0 || age < from || age >= until {
+				return inStep, 0
+			}
+			return how, until - age
+		}
+	}
+	// Half of the upstreams are replaced by such of the version v2.
+	release := func(i int, age time.Duration) string {
+		if i%2 == 0 && age >= 5*time.Second {
+			return "v2"
+		}
+		return "v1"
+	}
+	tests := []versionScenario{
+		{name: "cut off", apart: apart(cutOff)},
+		{name: "list is behind", apart: apart(behind)},
+		{name: "stands still", apart: apart(still)},
+		{name: "list is behind, others crash", apart: apart(behind), daemonCrashes: 4, restartInterval: 700 * time.Millisecond},
+		{name: "stands still, others crash", apart: apart(still), daemonCrashes: 4, restartInterval: 700 * time.Millisecond},
+		{name: "one version", apart: apart(cutOff), softwareOf: func(int, time.Duration) string { return "v1" }},
+	}
+	for _, tt := range tests {
+		tt.upstreams, tt.rate, tt.callersOnly, tt.messageDelay, tt.duration = 18, 100, true, 5*time.Millisecond, 9*time.Second
+		tt.upstreamCrashes, tt.crashInterval = 5, 400*time.Millisecond
+		if tt.softwareOf == nil {
+			tt.softwareOf = release
+		}
+		for _, daemons := range []int{7, 65} {
+			tt := tt
+			tt.daemons = daemons
+			t.Run(fmt.Sprint(tt.name, ", ", daemons), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(3) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newVersionFleet(t, tt, seed)
+						f.play()
+						t.Logf("seed %d: %d joined, %d torn, %d complete, begun %d of %d, continued %d of %d", seed, f.joined, f.torn, f.complete, f.begun, f.begun+f.notBegun, f.continued, f.resumes)
+						require.Zero(t, f.joined)
+						require.Zero(t, f.torn)
+					})
+				}
+			})
+		}
+	}
+}
--- a/forwarder/software.go
+++ b/forwarder/software.go
@@ -15,6 +15,12 @@
 // list of upstreams is current again soon after the store is reachable.
 const softwareRetryAfter = time.Second
 
+// SoftwareChecker knows which software versions were stored before a request arrived.
+type SoftwareChecker interface {
+	// Check returns nil once Upstreams.SoftwareVersions has all versions that were stored before a time.
+	Check(ctx context.Context, before time.Time) error
+}
+
 // findSoftware finds the software version that began a stream which the caller resumes. The
 // request is refused if the version may be another than that of the upstreams.
 func (x *exchange) findSoftware(ctx context.Context) *refuser.Refusal {
@@ -22,26 +28,46 @@
 	if x.route.Repeatability != resolver.Stream || r.ResumeAfter == "" {
 		return nil
 	}
-	versions, complete := x.softwareVersions()
-	several := !complete || len(versions) > 1
-	if r.Resumes != "" {
-		if x.software, x.softwareKnown = x.forwarder.config.Streams.Lookup(ctx, pinner.StreamOf(r.Resumes), several); x.softwareKnown {
+	versions, several := x.lookUpSoftware(ctx)
+	if x.softwareKnown {
+		return nil
+	}
+	err := error(nil)
+	if !several && x.forwarder.config.Software != nil {
+		// A version that is new to this daemon may have begun the stream.
+		if err = x.forwarder.config.Software.Check(ctx, r.ReceivedAt); err == nil {
+			versions, several = x.softwareVersions()
+		}
+		if several {
+			versions, several = x.lookUpSoftware(ctx)
+		}
+		if x.softwareKnown {
 			return nil
 		}
 	}
-	if several || len(versions) == 0 {
-		return refuser.New(refuser.SoftwareUnknown, "resume").WithRetryAfter(softwareRetryAfter).
-			WithDetail("the upstream version that began stream %q is not known, versions %q may have, list complete: %t", r.Resumes, versions, complete)
+	if several || err != nil {
+		return refuser.New(refuser.SoftwareUnknown, "resume").WithRetryAfter(softwareRetryAfter).WithCause(err).
+			WithDetail("the upstream version that began stream %q is not known, versions %q may have", r.Resumes, versions)
 	}
 	x.software, x.softwareKnown = versions[0], true
 	return nil
 }
 
+// lookUpSoftware asks the daemons for the version that began the stream which the caller resumes. It returns the
+// versions that may have, and reports whether these may be others than a single one.
+func (x *exchange) lookUpSoftware(ctx context.Context) (versions []string, several bool) {
+	versions, several = x.softwareVersions()
+	if resumes := x.request.Resumes; resumes != "" {
+		x.software, x.softwareKnown = x.forwarder.config.Streams.Lookup(ctx, pinner.StreamOf(resumes), several)
+	}
+	return versions, several
+}
+
 // softwareVersions returns the software versions that may have begun a stream of the route, which may have been at
-// any service of its traffic split.
-func (x *exchange) softwareVersions() (versions []string, complete bool) {
+// any service of its traffic split, and reports whether these may be others than a single one.
+func (x *exchange) softwareVersions() (versions []string, several bool) {
 	upstreams := x.forwarder.config.Upstreams
-	versions, complete = upstreams.SoftwareVersions(x.service.Name)
+	versions, complete := upstreams.SoftwareVersions(x.service.Name)
 	for _, other := range x.route.TrafficSplit {
 		if other.Weight <= 0 || other.Service == x.service.Name {
 			continue
@@ -50,7 +76,8 @@
 		versions, complete = append(versions, more...), complete && known
 	}
 	slices.Sort(versions)
-	return slices.Compact(versions), complete
+	versions = slices.Compact(versions)
+	return versions, !complete || len(versions) != 1
 }
 
 // pinSoftware keeps the stream at the software version of its first event, here and at other
@@ -69,8 +96,8 @@
 			return
 		}
 	}
-	versions, complete := x.softwareVersions()
-	x.forwarder.config.Streams.Pin(pinner.StreamOf(first), x.software, !complete || len(versions) > 1)
+	_, several := x.softwareVersions()
+	x.forwarder.config.Streams.Pin(pinner.StreamOf(first), x.software, several)
 }
 
 // candidates returns the upstreams that may run the request: those of its service, for a stream that
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +22,7 @@
 
 	"laburnumline/balancer"
 	"laburnumline/connector"
+	"laburnumline/contractor"
 	"laburnumline/emulator"
 	"laburnumline/framer"
 	"laburnumline/persister"
@@ -69,6 +72,60 @@
 	steps []versionStep
 	// clock returns what the clock of the i-th daemon is ahead of the time. Nil means zero.
 	clock func(i int, age time.Duration) time.Duration
+	// apart returns how the i-th daemon is out of step, and how much longer. Nil means that none is.
+	apart func(i int, age time.Duration) (how apartness, left time.Duration)
+}
+
+// apartness is how a daemon is out of step with the others.
+type apartness int
+
+const (
+	inStep apartness = iota
+	// cutOff means that it reaches neither the store nor the other daemons.
+	cutOff
+	// behind means that its list of upstreams does not change, and that it does not know: the daemon which watches the
+	// store for it, or it itself, stood still.
+	behind
+	// still means that it does nothing, and handles its requests later.
+	still
+)
+
+// apartOf returns how a daemon is out of step now, and how much longer.
+func (f *versionFleet) apartOf(i int) (apartness, time.Duration) {
+	if f.scenario.apart == nil {
+		return inStep, 0
+	}
+	return f.scenario.apart(i, time.Since(f.start))
+}
+
+// daemonStore is the store as one daemon reaches it.
+type daemonStore struct {
+	*emulator.Store
+	fleet *versionFleet
+	index int
+}
+
+var errCutOff = errors.New("the daemon is cut off from the store")
+
+func (s *daemonStore) err() error {
+	if how, _ := s.fleet.apartOf(s.index); how == cutOff || how == still {
+		return errCutOff
+	}
+	return nil
+}
+
+func (s *daemonStore) Get(ctx context.Context, key string) (persister.Entry, error) {
+	if err := s.err(); err != nil {
+		return persister.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *daemonStore) Commit(ctx context.Context, txn persister.Txn) (contractor.Revision, error) {
+	if err := s.err(); err != nil {
+		return 0, err
+	}
+	return s.Store.Commit(ctx, txn)
 }
 
 // versionStep happens at a time after the start.
@@ -108,7 +165,8 @@
 	registrar *registrar.Registrar
 	pinner    *pinner.Pinner
 	updating  sync.Mutex
-	several   bool // several versions were known at the last update
+	updatedAt atomic.Int64 // of the list, in nanoseconds since the start of the fleet
+	several   bool         // several versions were known at the last update
 	ended     context.Context
 	end       context.CancelFunc
 	startedAt time.Time
@@ -153,7 +211,14 @@
 	d.registrar = registrar.New(registrar.Config{
 		Decode: func(key string, _ []byte) (registrar.Upstream, error) { return f.decode(key), nil },
 		Now:    func() time.Time { return f.clockOf(i) },
+		ListAge: func() time.Duration {
+			if how, _ := f.apartOf(i); how == behind {
+				return 0
+			}
+			return time.Since(f.start) - time.Duration(d.updatedAt.Load())
+		},
 	})
+	store := &daemonStore{Store: f.store, fleet: f, index: i}
 	d.pinner = pinner.New(pinner.Config{
 		Self: f.members[i], Peers: func() []netip.AddrPort { return f.others[i] },
 		Send: func(to netip.AddrPort, datagram []byte) { f.deliver(d, f.members[i], to, datagram) },
@@ -162,11 +227,12 @@
 	d.forwarder = New(Config{
 		Tables: f, Upstreams: d.registrar, Streams: d.pinner, Budgets: f, Balancer: balancer.New(balancer.Config{}), Limits: throttler.New(throttler.Config{}),
 		Sender: f, Quarantine: quarantiner.New(quarantiner.Config{MaxCrashes: 1000, SuspicionPeriod: time.Minute}), Probe: f.probe,
-		Retries: retrier.New(retrier.Config{Attempts: attempts, TargetRatio: 10, AccountRatio: 10, Burst: 100}), Random: func() float64 { return 0 },
+		Software: &registrar.SoftwareChecker{Store: &registrar.SoftwareStore{Store: store, Registrar: d.registrar, Timeout: time.Second, Era: f.store.Era}},
+		Retries:  retrier.New(retrier.Config{Attempts: attempts, TargetRatio: 10, AccountRatio: 10, Burst: 100}), Random: func() float64 { return 0 },
 		SetMetadata: func(h http.Header, m Metadata) { h.Set("Last", m.ResumeAfter); h.Set("Upstream", string(m.Upstream)) },
 	})
-	go f.keepSoftware(i, d, time.Duration(f.random.Int64N(int64(keepInterval))))
-	d.update(f.entries())
+	go f.keepSoftware(i, d, store, time.Duration(f.random.Int64N(int64(keepInterval))))
+	f.update(i, d, f.entries())
 }
 
 // clockOf returns the clock of a daemon, without a monotonic reading: another daemon compares its times.
@@ -179,8 +245,8 @@
 }
 
 // keepSoftware exchanges the software history with the store until the daemon ends, as launcher does.
-func (f *versionFleet) keepSoftware(i int, d *versionDaemon, phase time.Duration) {
-	store := &registrar.SoftwareStore{Store: f.store, Registrar: d.registrar, Timeout: time.Second, Era: f.store.Era, MemberPrefix: "member/"}
+func (f *versionFleet) keepSoftware(i int, d *versionDaemon, link *daemonStore, phase time.Duration) {
+	store := &registrar.SoftwareStore{Store: link, Registrar: d.registrar, Timeout: time.Second, Era: f.store.Era, MemberPrefix: "member/"}
 	loaded := false
 	for d.ended.Err() == nil {
 		switch {
@@ -212,9 +278,13 @@
 }
 
 // update gives a daemon the current list of upstreams, as its watch of the store does.
-func (d *versionDaemon) update(entries []persister.Entry) {
+func (f *versionFleet) update(i int, d *versionDaemon, entries []persister.Entry) {
+	if how, _ := f.apartOf(i); how != inStep {
+		return
+	}
 	d.updating.Lock()
 	defer d.updating.Unlock()
+	d.updatedAt.Store(int64(time.Since(f.start)))
 	d.registrar.Reset(entries)
 	several := len(d.registrar.SoftwareHistory()["drafts"]) > 1
 	if several && !d.several {
@@ -250,12 +320,15 @@
 	if lost {
 		return
 	}
-	address := to.Addr().As4()
+	index := func(a netip.AddrPort) int { b := a.Addr().As4(); return int(b[2])<<8 + int(b[3]) }
 	time.AfterFunc(f.scenario.messageDelay, func() {
 		f.mu.Lock()
-		d := f.daemons[int(address[2])<<8+int(address[3])]
+		d := f.daemons[index(to)]
 		f.mu.Unlock()
-		if d.ended.Err() == nil {
+		senderIs, _ := f.apartOf(index(from))
+		receiverIs, _ := f.apartOf(index(to))
+		reached := senderIs != cutOff && receiverIs != cutOff && receiverIs != still
+		if d.ended.Err() == nil && reached {
 			d.pinner.Receive(from, datagram)
 		}
 	})
@@ -344,13 +417,17 @@
 // try makes one attempt at a random daemon that runs.
 func (f *versionFleet) try(s *stream, try int) int {
 	f.mu.Lock()
-	d := f.daemons[f.random.IntN(len(f.daemons))]
+	index := f.random.IntN(len(f.daemons))
+	d := f.daemons[index]
 	id, shared := fmt.Sprint(f.random.Uint64()), f.random.Uint64N(50)
 	down := time.Now().Before(d.downUntil)
 	f.mu.Unlock()
 	if down {
 		return 0
 	}
+	if how, left := f.apartOf(index); how == still {
+		time.Sleep(left)
+	}
 	request := &Request{
 		ID: id, Method: "POST", Host: "a.example", Path: "/resume/", Target: "/resume/" + id, Header: http.Header{}, Key: "key",
 		Body: strings.NewReader("sound"), Length: 5, CallerTimeout: 9 * time.Second, ReceivedAt: time.Now(),
@@ -480,8 +557,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entries := f.entries()
-	for _, d := range f.daemons {
-		time.AfterFunc(time.Duration(f.random.Int64N(int64(listInterval))), func() { d.update(entries) })
+	for i, d := range f.daemons {
+		time.AfterFunc(time.Duration(f.random.Int64N(int64(listInterval))), func() { f.update(i, d, entries) })
 	}
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -277,6 +277,7 @@
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
 		Retries:        d.retrier,
+		Software:       &registrar.SoftwareChecker{Store: d.softwareStore(softwareCheckTimeout)},
 		Lifetime:       &d.lifetime,
 		ResponseMemory: min(s.MemoryLimit/responseMemoryDivisor, maxResponseMemory),
 		RegionOf:       s.regionOf, SetMetadata: c.Adapter.SetUpstreamHeaders, Random: rand.Float64, Recorder: rec,
--- a/launcher/software.go
+++ b/launcher/software.go
@@ -24,6 +24,9 @@
 	historyTimeout = time.Second
 	// softwareTimeout limits each call to the store for it.
 	softwareTimeout = 2 * time.Second
+	// softwareCheckTimeout limits a read of it for callers that resume streams. The store responds in 4 ms, or in up
+	// to 100 times as long when it is slow.
+	softwareCheckTimeout = 600 * time.Millisecond
 	// softwareWriters is the number of daemons that store a change. The second one finds it
 	// stored, unless the first one has died.
 	softwareWriters = 2
@@ -32,10 +35,7 @@
 // keepSoftware loads the software history once, and then stores changes, until ctx ends. When the store was
 // restored from an older copy, it stores the history and the quarantines again.
 func (d *Daemon) keepSoftware(ctx context.Context) {
-	store := &registrar.SoftwareStore{
-		Store: d.store, Registrar: d.registrar, Timeout: softwareTimeout, Era: d.store.Era, MemberPrefix: apportioner.RowPrefix,
-		ListRevision: d.upstreamReplicator.WatchedRevision, Recorded: d.pinner.Announce, Noticed: d.pinner.Announced,
-	}
+	store := d.softwareStore(softwareTimeout)
 	loaded := false
 	era := d.store.Era()
 	for {
@@ -68,6 +68,14 @@
 	}
 }
 
+// softwareStore returns a new store of the software history.
+func (d *Daemon) softwareStore(timeout time.Duration) *registrar.SoftwareStore {
+	return &registrar.SoftwareStore{
+		Store: d.store, Registrar: d.registrar, Timeout: timeout, Era: d.store.Era, MemberPrefix: apportioner.RowPrefix,
+		ListRevision: d.upstreamReplicator.WatchedRevision, Recorded: d.pinner.Announce, Noticed: d.pinner.Announced,
+	}
+}
+
 // keepShares registers this daemon once the software history is loaded, or after historyTimeout, and keeps its shares until
 // ctx ends.
 func (d *Daemon) keepShares(ctx context.Context) {
