forwarder, delegator, dispatcher: tests of responses whose head is cut

Another operator's report: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. That can't happen here, as shown by

- TestResponseWithoutWholeHeadIsLost: the response of another daemon to a delegated request, cut at every byte;
- a case each in package dispatcher for the own interface (the one for services stood there).

--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -1,6 +1,7 @@
 package delegator
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -282,3 +283,29 @@
 		})
 	}
 }
+
+// Another daemon may end in the middle of the head of its response, at any byte. Its response is then lost, and the request
+// may have run.
+func TestResponseWithoutWholeHeadIsLost(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
+		for n := range len(head) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return // the test has ended
+				}
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err == nil {
+					_, _ = io.Copy(io.Discard, request.Body) // an error means that the client has closed the connection
+					_, _ = io.WriteString(conn, head[:n])
+				}
+			}()
+			_, err = clientOf(listener.Addr().(*net.TCPAddr).AddrPort()).Send(t.Context(), &Request{ID: "1", TimeRemaining: time.Minute, Body: []byte("body")})
+			require.ErrorIs(t, err, ErrInterrupted, "%q", head[:n])
+			listener.Close()
+		}
+	}
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -252,6 +252,7 @@
 		cause   error
 	}{
 		{"no response", rawResponse(""), dispatcher.Failure{Phase: dispatcher.NoResponse, Crashed: true}, io.EOF},
+		{"closed within the header", rawResponse(header + "Content-Length: 9\r\n"), dispatcher.Failure{Phase: dispatcher.NoResponse, Crashed: true}, io.ErrUnexpectedEOF},
 		{"closed before the first chunk", rawResponse(header + "\r\n"), dispatcher.Failure{Phase: dispatcher.NoResponse, Crashed: true}, io.EOF},
 		{"closed after a chunk", rawResponse(header + "\r\n" + chunk), dispatcher.Failure{Phase: dispatcher.PartialResponse, Crashed: true}, io.EOF},
 		{"closed within a chunk", rawResponse(header + "Content-Length: 9999\r\n\r\n" + chunk + chunk[:9]), dispatcher.Failure{Phase: dispatcher.PartialResponse, Crashed: true}, io.ErrUnexpectedEOF},
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -175,6 +175,11 @@
 }
 
 func (s *fakeUpstreams) serve(ctx context.Context, path, body string) callerResponse {
+	return serveWith(ctx, s.forwarder(), path, body)
+}
+
+// serveWith serves a request with a forwarder.
+func serveWith(ctx context.Context, f *Forwarder, path, body string) callerResponse {
 	w := callerResponse{ResponseRecorder: httptest.NewRecorder()}
 	func() {
 		defer func() {
@@ -184,7 +189,7 @@
 				w.aborted = true
 			}
 		}()
-		s.forwarder().Serve(ctx, w, &Request{
+		f.Serve(ctx, w, &Request{
 			ID: "7", Method: "POST", Host: "a.example", Path: path, Target: path, Header: http.Header{}, Key: "key",
 			Body: strings.NewReader(body), Length: int64(len(body)), CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(),
 			PromptTokens: 100, MaxOutputTokens: 50,
