--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"laburnumline/sleeper"
 )
 
@@ -39,6 +41,9 @@
 	// RunnerTruncateUnframed is RunnerUnframed and RunnerTruncate. The connection of a plain
 	// response is reset, because nothing else shows that it is truncated.
 	RunnerTruncateUnframed
+	// RunnerCutHead runs the request and closes the connection in the middle of the head of the
+	// response, at a byte that depends on the request.
+	RunnerCutHead
 )
 
 // RunnerExecution is one execution of a request by a Runner.
@@ -256,6 +261,8 @@
 		r.respondUnframed(w, request, fault == RunnerTruncateUnframed)
 	case fault == RunnerLoseResponse:
 		panic(http.ErrAbortHandler)
+	case fault == RunnerCutHead:
+		r.cutHead(w, request)
 	case fault == RunnerFail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case r.config.Events > 0:
@@ -317,6 +324,22 @@
 	_, _ = io.WriteString(conn, head.String()+"\r\n"+body)
 }
 
+// cutHead writes a part of the head of a response that has a length.
+func (r *Runner) cutHead(w http.ResponseWriter, request *http.Request) {
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(&head) // writing to a bytes.Buffer does not fail
+	head.WriteString("Content-Type: text/event-stream\r\nContent-Length: 100\r\n\r\n")
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	length := int(xxhash.Sum64String(request.Header.Get("Attempt-Id")) % uint64(head.Len()))
+	// An error means that the client has disconnected.
+	_, _ = conn.Write(head.Bytes()[:length])
+}
+
 // truncatedLength returns a length of about half of the body that is not the end of an event.
 func truncatedLength(body string) int {
 	n := len(body) / 2
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -123,5 +123,5 @@
 // upstreamFaults are the faults with which an upstream can handle a request.
 var upstreamFaults = []emulator.RunnerFault{
 	emulator.RunnerFull, emulator.RunnerMisdirected, emulator.RunnerLoseResponse, emulator.RunnerTruncate, emulator.RunnerFail,
-	emulator.RunnerUnframed, emulator.RunnerTruncateUnframed,
+	emulator.RunnerUnframed, emulator.RunnerTruncateUnframed, emulator.RunnerCutHead,
 }
