delegator: redirects are returned to the caller

What callers would see: a request that another daemon serves, whose upstream responds with a redirect, gets the response of another address, or an error, and the daemon sends a request there that no caller sent.

Cause: http.Client follows redirects. The other paths do not follow any: package connector, and package dispatcher, which uses the transport.

Evidence: TestRedirectIsReturned fails before (the redirect is followed), passes now.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -121,9 +121,13 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	return &Client{config: c, skipped: make(map[netip.AddrPort]time.Time), client: &http.Client{Transport: &http.Transport{
-		DialContext: c.Dial, DisableCompression: true, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
-	}}}
+	return &Client{config: c, skipped: make(map[netip.AddrPort]time.Time), client: &http.Client{
+		Transport: &http.Transport{
+			DialContext: c.Dial, DisableCompression: true, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
+		},
+		// A redirect is the upstream's response, which the caller gets as it is.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // Send sends a request to another daemon and returns its response, whose body the caller closes. It
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -284,6 +284,20 @@
 	}
 }
 
+// The upstream's response to a delegated request may be a redirect. The daemon must not follow it.
+func TestRedirectIsReturned(t *testing.T) {
+	other, followed := peer(t, decline)
+	address, _ := peer(t, func(w http.ResponseWriter, _ *Request) {
+		w.Header().Set("Location", "http://"+other.String()+"/elsewhere")
+		w.WriteHeader(http.StatusSeeOther)
+	})
+	response, err := clientOf(address).Send(t.Context(), &Request{ID: "1", TimeRemaining: time.Second})
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusSeeOther, response.StatusCode)
+	require.Zero(t, followed.Load())
+}
+
 // Another daemon may end in the middle of the head of its response, at any byte. Its response is then lost, and the request
 // may have run.
 func TestResponseWithoutWholeHeadIsLost(t *testing.T) {
