forwarder: the test of stale lists in the usual terms

Renames only; a comment of package registrar follows. TestStreamIsNotJoinedAtADaemonOutOfStep is now TestStreamIsNotJoinedAtDaemonWithStaleList.

--- a/forwarder/outofstep_test.go
+++ b/forwarder/stale_list_test.go
@@ -9,24 +9,24 @@
 	"github.com/stretchr/testify/require"
 )
 
-// While a version of the upstreams' software is new, some daemons are out of step for some seconds. Streams of the new
-// version break off, and their callers resume them at these, which know the old version only and must not continue
-// them there.
-func TestStreamIsNotJoinedAtADaemonOutOfStep(t *testing.T) {
+// While a version of the upstreams' software is new, some daemons are partitioned, suspended or have a stale list for some
+// seconds. Streams of the new version break off, and their callers resume them at these daemons, which know the old version
+// only and must not continue them there.
+func TestStreamIsNotJoinedAtDaemonWithStaleList(t *testing.T) {
 	const from, until = 4900 * time.Millisecond, 7700 * time.Millisecond
-	apart := func(how apartness) func(int, time.Duration) (apartness, time.Duration) {
-		return func(i int, age time.Duration) (apartness, time.Duration) {
+	isolated := func(how isolation) func(int, time.Duration) (isolation, time.Duration) {
+		return func(i int, age time.Duration) (isolation, time.Duration) {
 			if i%3 != 0 || age < from || age >= until {
-				return inStep, 0
+				return connected, 0
 			}
 			return how, until - age
 		}
 	}
-	suspended := func(i int, age time.Duration) (apartness, time.Duration) {
+	wakesPartitioned := func(i int, age time.Duration) (isolation, time.Duration) {
 		const wakes = until - 800*time.Millisecond
-		how, left := apart(still)(i, age)
-		if how == still && age >= wakes {
-			return resumedCutOff, left
+		how, left := isolated(suspended)(i, age)
+		if how == suspended && age >= wakes {
+			return partitionedAfterSuspension, left
 		}
 		return how, wakes - age
 	}
@@ -38,13 +38,13 @@
 		return "v1"
 	}
 	tests := []versionScenario{
-		{name: "cut off", apart: apart(cutOff)},
-		{name: "list is behind", apart: apart(behind)},
-		{name: "stands still", apart: apart(still)},
-		{name: "stands still, then cut off", apart: suspended},
-		{name: "list is behind, others crash", apart: apart(behind), daemonCrashes: 4, restartInterval: 700 * time.Millisecond},
-		{name: "stands still, others crash", apart: apart(still), daemonCrashes: 4, restartInterval: 700 * time.Millisecond},
-		{name: "one version", apart: apart(cutOff), softwareOf: func(int, time.Duration) string { return "v1" }},
+		{name: "partitioned", isolated: isolated(partitioned)},
+		{name: "list is stale", isolated: isolated(stale)},
+		{name: "suspended", isolated: isolated(suspended)},
+		{name: "suspended, then partitioned", isolated: wakesPartitioned},
+		{name: "list is stale, others crash", isolated: isolated(stale), daemonCrashes: 4, restartInterval: 700 * time.Millisecond},
+		{name: "suspended, others crash", isolated: isolated(suspended), daemonCrashes: 4, restartInterval: 700 * time.Millisecond},
+		{name: "one version", isolated: isolated(partitioned), softwareOf: func(int, time.Duration) string { return "v1" }},
 	}
 	for _, tt := range tests {
 		tt.upstreams, tt.rate, tt.callersOnly, tt.messageDelay, tt.duration = 18, 100, true, 5*time.Millisecond, 9*time.Second
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -72,35 +72,35 @@
 	steps []versionStep
 	// clock returns what the clock of the i-th daemon is ahead of the time. Nil means zero.
 	clock func(i int, age time.Duration) time.Duration
-	// apart returns how the i-th daemon is out of step, and how much longer. Nil means that none is.
-	apart func(i int, age time.Duration) (how apartness, left time.Duration)
+	// isolated returns how the i-th daemon is isolated from the others, and how much longer. Nil means that none is.
+	isolated func(i int, age time.Duration) (how isolation, left time.Duration)
 }
 
-// apartness is how a daemon is out of step with the others.
-type apartness int
+// isolation is how a daemon lacks what the others know.
+type isolation int
 
 const (
-	inStep apartness = iota
-	// cutOff means that it reaches neither the store nor the other daemons.
-	cutOff
-	// behind means that its list of upstreams does not change, and that it does not know: the daemon which watches the
-	// store for it, or it itself, stood still.
-	behind
-	// still means that it does nothing, and handles its requests later.
-	still
-	// resumedCutOff is cutOff after a suspension of the machine, which the clock for the age of the list does not count.
-	resumedCutOff
+	connected isolation = iota
+	// partitioned means that it reaches neither the store nor the other daemons.
+	partitioned
+	// stale means that its list of upstreams does not change, and that it does not know: the daemon which watches the
+	// store for it is suspended.
+	stale
+	// suspended means that it does nothing, and handles its requests later.
+	suspended
+	// partitionedAfterSuspension is partitioned after a suspension of the machine, which the clock for the age of the list does not count.
+	partitionedAfterSuspension
 )
 
 // unreachable reports whether a daemon reaches neither the store nor the others.
-func (a apartness) unreachable() bool { return a == cutOff || a == resumedCutOff }
+func (a isolation) unreachable() bool { return a == partitioned || a == partitionedAfterSuspension }
 
-// apartOf returns how a daemon is out of step now, and how much longer.
-func (f *versionFleet) apartOf(i int) (apartness, time.Duration) {
-	if f.scenario.apart == nil {
-		return inStep, 0
+// isolationOf returns how a daemon is isolated now, and how much longer.
+func (f *versionFleet) isolationOf(i int) (isolation, time.Duration) {
+	if f.scenario.isolated == nil {
+		return connected, 0
 	}
-	return f.scenario.apart(i, time.Since(f.start))
+	return f.scenario.isolated(i, time.Since(f.start))
 }
 
 // daemonStore is the store as one daemon reaches it.
@@ -110,11 +110,11 @@
 	index int
 }
 
-var errCutOff = errors.New("the daemon is cut off from the store")
+var errPartitioned = errors.New("the daemon is partitioned from the store")
 
 func (s *daemonStore) err() error {
-	if how, _ := s.fleet.apartOf(s.index); how.unreachable() || how == still {
-		return errCutOff
+	if how, _ := s.fleet.isolationOf(s.index); how.unreachable() || how == suspended {
+		return errPartitioned
 	}
 	return nil
 }
@@ -217,7 +217,7 @@
 		Decode: func(key string, _ []byte) (registrar.Upstream, error) { return f.decode(key), nil },
 		Now:    func() time.Time { return f.clockOf(i) },
 		ListAge: func() time.Duration {
-			if how, _ := f.apartOf(i); how == behind || how == resumedCutOff {
+			if how, _ := f.isolationOf(i); how == stale || how == partitionedAfterSuspension {
 				return 0
 			}
 			return time.Since(f.start) - time.Duration(d.updatedAt.Load())
@@ -284,7 +284,7 @@
 
 // update gives a daemon the current list of upstreams, as its watch of the store does.
 func (f *versionFleet) update(i int, d *versionDaemon, entries []persister.Entry) {
-	if how, _ := f.apartOf(i); how != inStep {
+	if how, _ := f.isolationOf(i); how != connected {
 		return
 	}
 	d.updating.Lock()
@@ -330,9 +330,9 @@
 		f.mu.Lock()
 		d := f.daemons[index(to)]
 		f.mu.Unlock()
-		senderIs, _ := f.apartOf(index(from))
-		receiverIs, _ := f.apartOf(index(to))
-		reached := !senderIs.unreachable() && !receiverIs.unreachable() && receiverIs != still
+		senderIs, _ := f.isolationOf(index(from))
+		receiverIs, _ := f.isolationOf(index(to))
+		reached := !senderIs.unreachable() && !receiverIs.unreachable() && receiverIs != suspended
 		if d.ended.Err() == nil && reached {
 			d.pinner.Receive(from, datagram)
 		}
@@ -430,7 +430,7 @@
 	if down {
 		return 0
 	}
-	if how, left := f.apartOf(index); how == still {
+	if how, left := f.isolationOf(index); how == suspended {
 		time.Sleep(left)
 	}
 	request := &Request{
--- a/registrar/software_checker.go
+++ b/registrar/software_checker.go
@@ -14,7 +14,7 @@
 // SoftwareChecker brings the software history of a daemon up to date with the stored one. New streams begin at stored
 // versions, so a daemon that has read the history after a request arrived knows each version that may have begun the
 // stream which it resumes. The list of upstreams alone does not show that: it may be seconds old at a
-// daemon that was cut off or stood still, or whose relay did.
+// daemon that was partitioned or suspended, or whose relay was.
 //
 // It is safe for concurrent use. Requests share reads.
 type SoftwareChecker struct {
