--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -34,6 +34,11 @@
 
 // configuration returns a version of the operator's configuration.
 func configuration(version int, accounts ...account) []byte {
+	return configurationWith(version, usualHeaderBytes, accounts...)
+}
+
+// configurationWith returns a version with a limit for the header of a request.
+func configurationWith(version, maxHeaderBytes int, accounts ...account) []byte {
 	route := func(name, prefix, kind, service string, timeout time.Duration, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": host, "prefix": prefix, "routeType": kind, "timeoutMs": timeout.Milliseconds(),
@@ -59,7 +64,7 @@
 			},
 			map[string]any{"name": plainService, "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tlsEnabled": false},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":  map[string]any{"maxHeaderBytes": maxHeaderBytes, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": tenants,
 	})
 	if err != nil {
@@ -75,7 +80,9 @@
 	key            string
 	prompt, output int
 	body           string
-	timeout        time.Duration
+	// extra holds further lines of the header, each with its line end.
+	extra   string
+	timeout time.Duration
 }
 
 // answer is what a client has seen of a call.
@@ -227,6 +234,7 @@
 	if c.prompt > 0 {
 		fmt.Fprintf(&b, "Model-Id: m\r\nToken-Usage: %d,%d\r\nPrompt-Prefix: 5c1e07a2:%d,%s:%d\r\n", c.prompt, c.output, c.prompt*3/4, c.id, c.prompt-c.prompt*3/4)
 	}
+	b.WriteString(c.extra)
 	if c.method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.body))
 	}
--- a/review/rig/drill.go
+++ b/review/rig/drill.go
@@ -59,7 +59,7 @@
 	if err := f.awaitReady(added); err != nil {
 		return false, err
 	}
-	answers := f.load([]*daemon{added}, drillServing, 8, long)
+	answers := f.load([]*daemon{added}, drillServing, 12, long)
 	added.hold(true)
 	added.signal(syscall.SIGTERM)
 	for added.running() {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -13,6 +13,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -37,6 +39,7 @@
 	"drill":   playDrill,
 	"stale":   playStale,
 	"poison":  playPoison,
+	"limits":  playLimits,
 }
 
 func main() {
@@ -72,6 +75,13 @@
 	})
 	defer watchdog.Stop()
 	defer f.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		log.printf("ended by signal %v", <-signals)
+		f.close()
+		os.Exit(exitFailed)
+	}()
 	log.printf("case %s, trouble %v", name, trouble)
 	broken, err := run(f, trouble)
 	if err != nil {
