--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -22,8 +22,11 @@
 	draftPath     = "/lohu930/"
 	orderPath     = "/puxa403/"
 	statusPath    = "/cufi504/"
+	resumablePath = "/pufi791/"
 	draftTimeout  = 12 * time.Second
 	plainTimeout  = 600 * time.Millisecond
+	// resumableGap is the gap after which clients abandon a resumable stream: eight times its targetItlMs.
+	resumableGap = 4800 * time.Millisecond
 )
 
 // account is a tenant of the configuration.
@@ -46,6 +49,8 @@
 			"resumable": resumable, "targetItlMs": 300,
 		}
 	}
+	resumable := route("r-resume", resumablePath, "streaming", engineService, draftTimeout, true)
+	resumable["targetItlMs"] = resumableGap.Milliseconds() / 8
 	var tenants []any
 	for _, a := range accounts {
 		tenants = append(tenants, map[string]any{"name": a.name, "apiKeys": []string{a.key}, "priority": 1, "prepaid": a.prepaid})
@@ -54,6 +59,7 @@
 		"version": version,
 		"routes": []any{
 			route("r-draft", draftPath, "streaming", engineService, draftTimeout, false),
+			resumable,
 			route("r-order", orderPath, "non_idempotent", plainService, plainTimeout, false),
 			route("r-status", statusPath, "idempotent", plainService, plainTimeout, false),
 		},
@@ -83,6 +89,8 @@
 	// extra holds further lines of the header, each with its line end.
 	extra   string
 	timeout time.Duration
+	// cutAt, if set, is when the client loses its connection.
+	cutAt time.Time
 }
 
 // answer is what a client has seen of a call.
@@ -174,6 +182,9 @@
 	a.kept = connection.calls > 0
 	connection.calls++
 	_ = connection.SetDeadline(time.Now().Add(one.timeout + time.Second))
+	if !one.cutAt.IsZero() {
+		defer time.AfterFunc(time.Until(one.cutAt), func() { _ = connection.Close() }).Stop()
+	}
 	reuse := false
 	a.err = func() error {
 		if _, err := io.WriteString(connection, one.encode()); err != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -40,6 +40,8 @@
 	"stale":   playStale,
 	"poison":  playPoison,
 	"limits":  playLimits,
+	"resume":  playResume,
+	"upload":  playUpload,
 }
 
 func main() {
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -36,6 +37,8 @@
 	id      string
 	service string
 	zone    string
+	// version is that of the runner's software. Empty means v1.
+	version string
 	engine  bool
 	address string
 	server  *http.Server
@@ -106,7 +109,7 @@
 	}
 	seq := atomic.AddInt64(&r.seq, 1)
 	entry, err := json.Marshal(map[string]any{
-		"backend": r.service, "address": r.address, "zone": r.zone, "version": "v1", "batchSlots": slots, "phase": phase,
+		"backend": r.service, "address": r.address, "zone": r.zone, "version": cmp.Or(r.version, "v1"), "batchSlots": slots, "phase": phase,
 		"warmupLeftMs": 0, "phaseKind": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "loras": []any{}}},
 		"seq": seq, "born": r.born.UnixMilli(),
 	})
