connector: limit the header of a response

Cause: Response.read passed the connection's reader to http.ReadResponse, which limits neither a line nor the number of headers. Evidence: TestEndlessHeadFailsTheCall reads all 64 MB in eight of nine forms of a header without this change. Ruled out: bodies and kernel buffers, as the case sends a header only and counts the process's own memory.

A connection now fails beyond 64 KB between the start of a call and the end of its response's header.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -1,8 +1,8 @@
 // Package connector sends requests to upstreams over pooled HTTP/1.1 connections.
 //
 // An upstream executes one request at a time on a connection, and it may be faulty: it may
-// send a second response after the first one, send bytes that are not a response, or
-// respond before it has read the whole request. A Pool therefore accepts a response only if
+// send a second response after the first one, send bytes that are not a response, also
+// without end, or respond before it has read the whole request. A Pool therefore accepts a response only if
 // it carries the ID of the call, skips responses to earlier calls, and reuses a connection
 // only if no bytes are left on it in either direction.
 //
@@ -49,6 +49,9 @@
 	maxIdlePerUpstream = 16
 	// maxStaleResponses limits the responses to earlier calls that are skipped.
 	maxStaleResponses = 3
+	// maxHeadBytes limits what is read from a connection until the header of the response to a
+	// call is complete, headers of skipped responses included.
+	maxHeadBytes = 64 << 10
 )
 
 // Metadata is what the platform's headers of a response contain.
@@ -118,6 +121,7 @@
 
 var (
 	errForeignResponse = errors.New("the responses belong to other calls")
+	errHeadTooLong     = fmt.Errorf("response header exceeds %d bytes", maxHeadBytes)
 )
 
 // connection is an open connection.
@@ -130,6 +134,36 @@
 	// lastID is the ID of the last call. A repeated response to it could not be told from that to another call with
 	// the same ID.
 	lastID string
+	// readingHead is true while a header is read, and headBytes counts what has been read for it.
+	readingHead bool
+	headBytes   int
+}
+
+func newConnection(raw net.Conn) *connection {
+	c := &connection{Conn: raw, idleTimeout: defaultIdleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// Read reads from the upstream. While a header is read, it returns errHeadTooLong beyond maxHeadBytes.
+func (c *connection) Read(p []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(p)
+	}
+	remaining := maxHeadBytes - c.headBytes
+	if remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), remaining)])
+	c.headBytes += n
+	return n, err
+}
+
+// readHead reads the status line and the header of a response.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.readingHead = true
+	defer func() { c.readingHead = false }()
+	return http.ReadResponse(c.reader, request)
 }
 
 // Pool holds the idle connections of a daemon to all upstreams. It is safe for concurrent
@@ -154,7 +188,7 @@
 	if err != nil {
 		return nil, &CallError{ConnectFailed: true, Step: "connect", Peer: address, Err: err}
 	}
-	c.lastID = call.ID
+	c.lastID, c.headBytes = call.ID, 0
 	r := &Response{pool: p, address: address, connection: c}
 	r.stop = context.AfterFunc(ctx, func() {
 		// An error means that the connection is closed already.
@@ -185,7 +219,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return newConnection(raw), nil
 }
 
 func (p *Pool) takeIdle(address netip.AddrPort) *connection {
--- a/connector/response.go
+++ b/connector/response.go
@@ -95,7 +95,7 @@
 func (r *Response) read(call *Call) error {
 	request := &http.Request{Method: call.Method}
 	for range maxStaleResponses + 1 {
-		response, err := http.ReadResponse(r.connection.reader, request)
+		response, err := r.connection.readHead(request)
 		if err != nil {
 			return err
 		}
