cmd/laburnumline: handle signals from the start of main until the process exits

Cause: watchSettings handled SIGHUP only until the context of SIGTERM ended. Its signal.Stop gave SIGHUP the default action back, which ends the process. Evidence: the process ends with "signal: hangup" 7 s before the end of the grace period; TestHangupDuringPlannedStopEndsNoRequest ends with an unexpected EOF without this change.

main now handles the signals before anything else and never stops to.

--- a/cmd/laburnumline/launch.go
+++ b/cmd/laburnumline/launch.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -56,6 +57,8 @@
 	HedgeQuantile float64 `long:"hedge-quantile" env:"LABURNUMLINE_HEDGE_QUANTILE" default:"0.95" description:"quantile of the time to first byte after which a request is slow, above 0.5 and below 1"`
 }
 
+func (*launchCommand) runsDaemon() {}
+
 func (cmd *launchCommand) checkHedging() error {
 	if !hedger.ShareValid(cmd.HedgeShare) {
 		return usageErrorf("--hedge-share (LABURNUMLINE_HEDGE_SHARE) is %v, allowed: 0 to %v", cmd.HedgeShare, hedger.MaxShare)
@@ -96,7 +99,10 @@
 	if cmd.Metrics > 0 {
 		config.MetricsAddress = netip.AddrPortFrom(settings.FrontendAddress.Addr(), cmd.Metrics)
 	}
-	go watchSettings(e.ctx, path, settings, store, rec)
+	// A stopping daemon still returns its shares of the balances to the store, whose address may have changed.
+	watching, stopWatching := context.WithCancel(context.WithoutCancel(e.ctx))
+	defer stopWatching()
+	go watchSettings(watching, e.hangup, path, settings, store, rec)
 	if err := launcher.New(config).Run(e.ctx); err != nil {
 		return fmt.Errorf("daemon %s: %w", settings.Name, err)
 	}
--- a/cmd/laburnumline/main.go
+++ b/cmd/laburnumline/main.go
@@ -45,7 +45,10 @@
 
 // environment is what a command gets from the process.
 type environment struct {
-	ctx    context.Context
+	// ctx ends with the first SIGINT or SIGTERM.
+	ctx context.Context
+	// hangup receives SIGHUP, which asks a daemon to reload its settings. Nil means that there is none.
+	hangup <-chan os.Signal
 	stdin  io.Reader
 	stdout io.Writer
 	stderr io.Writer
@@ -57,6 +60,12 @@
 	run(e *environment) error
 }
 
+// daemonCommand is a command that SIGHUP does not end.
+type daemonCommand interface {
+	command
+	runsDaemon()
+}
+
 // usageError marks an error of the usage or the input; its exit code is exitUsage.
 type usageError struct{ err error }
 
@@ -66,10 +75,18 @@
 func usageErrorf(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(&environment{ctx: ctx, stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr}, os.Args[1:])
-	stop()
-	os.Exit(code)
+	ctx, hangup := handleSignals()
+	os.Exit(run(&environment{ctx: ctx, hangup: hangup, stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr}, os.Args[1:]))
+}
+
+// handleSignals returns a context that ends with the first SIGINT or SIGTERM, and a channel that receives SIGHUP. The
+// default action of these signals ends the process at once, so they are handled until it exits, also during a planned
+// stop.
+func handleSignals() (context.Context, <-chan os.Signal) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	return ctx, hangup
 }
 
 // run parses the arguments, runs the command and returns the exit code.
@@ -84,6 +101,9 @@
 		fmt.Fprintln(e.stderr, err)
 		return exitUsage
 	}
+	if _, ok := selected.(daemonCommand); !ok {
+		stopOnHangup(e)
+	}
 	err = selected.run(e)
 	if err != nil {
 		printError(e.stderr, err)
@@ -91,6 +111,20 @@
 	return exitCode(err)
 }
 
+// stopOnHangup ends the context of a command with SIGHUP as well.
+func stopOnHangup(e *environment) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	hangup := e.hangup
+	e.ctx = ctx
+	go func() {
+		defer cancel()
+		select {
+		case <-hangup:
+		case <-ctx.Done():
+		}
+	}()
+}
+
 // printError prints an error, its invalid fields, and the current revision after a conflict.
 func printError(w io.Writer, err error) {
 	var problems configurer.Problems
--- /dev/null
+++ b/cmd/laburnumline/process_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumline/emulator"
+	"laburnumline/platform"
+)
+
+// commandVariable makes the test binary run the command instead of its tests.
+const commandVariable = "LABURNUMLINE_TEST_COMMAND"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(commandVariable) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// processFixture is an emulated store and upstream, and the settings of a daemon that runs as a process of its own.
+type processFixture struct {
+	t        *testing.T
+	store    *emulator.Store
+	ip       string
+	settings string
+	log      safeBuffer
+}
+
+// safeBuffer collects the output of a process.
+type safeBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+func newProcessFixture(t *testing.T, events int, interval time.Duration) *processFixture {
+	t.Helper()
+	f := &processFixture{
+		t: t, store: emulator.NewStore(emulator.StoreConfig{}),
+		ip:       fmt.Sprintf("127.%d.%d.%d", 130+rand.N(100), rand.N(250), 1+rand.N(250)),
+		settings: filepath.Join(t.TempDir(), "settings.toml"),
+	}
+	f.store.PutAsOperator("op/config", []byte(`{"version":1,"routes":[
+ {"name":"drafts","hostname":"a.example","prefix":"/drafts/","routeType":"streaming","timeoutMs":20000,"backend":"model","attempts":1}],
+ "backends":[{"name":"model","healthPath":"/healthz","maxConnections":100,"backendEngine":{"batchSlots":64,"kvCapacity":400000,"interval":3}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t1","apiKeys":["k1"],"prepaid":1000000}]}`))
+	upstream := emulator.NewRunner(emulator.RunnerConfig{Name: "i-model", Events: events, EventInterval: interval})
+	url, err := upstream.Serve()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = upstream.Close() })
+	f.store.PutAsOperator("servers/i-model", fmt.Appendf(nil,
+		`{"backend":"model","address":%q,"zone":"z","version":"v1","batchSlots":8,"phase":"ready","warmupLeftMs":0,"seq":1}`, strings.TrimPrefix(url, "http://")))
+	server := httptest.NewServer(f.store.PlatformHandler())
+	t.Cleanup(server.Close)
+	text := fmt.Sprintf("nodeName = \"edge-1\"\nipAddress = %[1]q\nzone = \"z\"\ninternalPorts = [18010, 18020]\n"+
+		"[bind]\nfrontend = \"%[1]s:18000\"\nready = \"%[1]s:18001\"\n[limits]\nmemoryLimitMb = 256\n[ruleParams]\ngraceS = 20\nretryRatio = 1\nretryWindowS = 2\n"+
+		"[platform]\naddress = %[2]q\n", f.ip, server.Listener.Addr())
+	require.NoError(t, os.WriteFile(f.settings, []byte(text), 0o600))
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.log.String())
+		}
+	})
+	return f
+}
+
+// command returns the process of the daemon, which is not started yet.
+func (f *processFixture) command(args ...string) *exec.Cmd {
+	f.t.Helper()
+	process := exec.Command(os.Args[0], append([]string{"launch"}, args...)...)
+	process.Env = append(os.Environ(), commandVariable+"=1", platform.SettingsVariable+"="+f.settings)
+	process.Stdout, process.Stderr = &f.log, &f.log
+	f.t.Cleanup(func() {
+		if process.Process != nil && process.ProcessState == nil {
+			_ = process.Process.Kill()
+			_ = process.Wait()
+		}
+	})
+	return process
+}
+
+// start starts the daemon and waits until it is ready.
+func (f *processFixture) start(args ...string) *exec.Cmd {
+	f.t.Helper()
+	process := f.command(args...)
+	require.NoError(f.t, process.Start())
+	f.awaitReady()
+	return process
+}
+
+func (f *processFixture) awaitReady() {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		response, err := http.Get("http://" + f.ip + ":18001/api/readyz")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		front, err := net.Dial("tcp", f.ip+":18000")
+		if err != nil {
+			return false
+		}
+		front.Close()
+		return response.StatusCode == http.StatusOK
+	}, time.Minute, 5*time.Millisecond)
+}
+
+// openStream sends a request for a stream and returns when its first event has arrived.
+func (f *processFixture) openStream(id string) (*http.Response, *bufio.Reader) {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.ip+":18000/drafts/1", strings.NewReader("body"))
+	require.NoError(f.t, err)
+	request.Host = "a.example"
+	for name, value := range map[string]string{"Attempt-Id": id, "Deadline-Ms": "20000", "Authorization": "Bearer k1", "Token-Usage": "100,50"} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { response.Body.Close() })
+	require.Equal(f.t, http.StatusOK, response.StatusCode)
+	body := bufio.NewReader(response.Body)
+	_, err = body.Peek(1)
+	require.NoError(f.t, err)
+	return response, body
+}
+
+// Guards against SIGHUP that ends a daemon while it completes its requests after SIGTERM: its handler was removed when
+// the planned stop began, and the default action of SIGHUP ends the process.
+func TestHangupDuringPlannedStopEndsNoRequest(t *testing.T) {
+	const events = 12
+	f := newProcessFixture(t, events, 100*time.Millisecond)
+	process := f.start()
+	_, body := f.openStream("1")
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP} {
+		require.NoError(t, process.Process.Signal(s))
+		time.Sleep(50 * time.Millisecond)
+	}
+	rest, err := io.ReadAll(body)
+	require.NoError(t, err, "the stream was cut off")
+	require.Equal(t, events, strings.Count("\n"+string(rest), "\nid:"))
+	for range 20 { // while the daemon returns its shares and exits
+		_ = process.Process.Signal(syscall.SIGHUP) // fails once the process has ended
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.NoError(t, process.Wait())
+	require.Contains(t, f.log.String(), "daemon_stopped")
+}
+
+// Guards against commands of operators that a lost terminal does not end, and against daemons that it ends.
+func TestHangupEndsCommandsThatAreNoDaemons(t *testing.T) {
+	tests := []struct {
+		command command
+		daemon  bool
+	}{{&launchCommand{}, true}, {&serveCommand{}, true}, {&soakCommand{}, false}, {&statusCommand{}, false}}
+	for _, tt := range tests {
+		_, daemon := tt.command.(daemonCommand)
+		require.Equal(t, tt.daemon, daemon, "%T", tt.command)
+	}
+	hangup := make(chan os.Signal, 1)
+	e := &environment{ctx: t.Context(), hangup: hangup}
+	stopOnHangup(e)
+	require.NoError(t, e.ctx.Err())
+	hangup <- syscall.SIGHUP
+	<-e.ctx.Done()
+}
--- a/cmd/laburnumline/serve.go
+++ b/cmd/laburnumline/serve.go
@@ -20,6 +20,9 @@
 	Settings string `long:"settings" default:"laburnumline.ini" description:"settings file"`
 }
 
+// runsDaemon means that SIGHUP does not end the daemon. It reads its settings when it starts.
+func (*serveCommand) runsDaemon() {}
+
 func (cmd *serveCommand) run(e *environment) error {
 	settings, err := configurer.Load(cmd.Settings)
 	if err != nil {
--- a/cmd/laburnumline/settings.go
+++ b/cmd/laburnumline/settings.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"laburnumline/launcher"
@@ -17,13 +15,10 @@
 // is checked. The file may change without a signal.
 const settingsPollInterval = time.Second
 
-// watchSettings reloads the settings file on SIGHUP and after each modification until ctx
+// watchSettings reloads the settings file on each signal from hangup and after each modification until ctx
 // ends. A running daemon applies only a new address of the store. Other settings take
 // effect at the next start.
-func watchSettings(ctx context.Context, path string, current launcher.Settings, store *platform.Store, rec *recorder.Recorder) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func watchSettings(ctx context.Context, hangup <-chan os.Signal, path string, current launcher.Settings, store *platform.Store, rec *recorder.Recorder) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModified := modificationTime(path)
