delegator, launcher: a daemon with an older configuration declines delegated requests

Cause: the daemon to which the request was delegated resolved it by its own configuration, which was older because that daemon was partitioned from the store. No message named a version. Evidence: without this change TestRequestIsNotServedByAnOlderConfiguration gets 404 on a route that the daemon has applied; a request that is not delegated is served.

Requests name the version by which they were accepted, and a daemon with an older one declines, so that the next one is asked.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -44,8 +44,11 @@
 	// headLengthHeader has the length of the encoded Request that precedes the body.
 	headLengthHeader = "Head-Length"
 	// declinedHeader is set in the response of a daemon that has not run the request, because it
-	// does not reach the upstreams either or is stopping.
+	// does not reach the upstreams either, is stopping, or has an older configuration.
 	declinedHeader = "Declined"
+	// checkedHeader is set in the response of a daemon that declines requests of daemons with a newer
+	// configuration. Earlier releases do not set it.
+	checkedHeader = "Version-Checked"
 	// maxAttempts is the number of daemons that are tried for a request.
 	maxAttempts = 4
 	// declineBackoff is how long a daemon that has declined a request is skipped, failureBackoff one that
@@ -68,6 +71,9 @@
 	Target string      `cbor:"target"`
 	Header http.Header `cbor:"header"`
 	Key    string      `cbor:"key"`
+	// Version is that of the configuration by which this daemon has accepted the request. A daemon with an older one
+	// declines the request.
+	Version int64 `cbor:"version,omitempty"`
 	// TimeRemaining is how long the caller still waits.
 	TimeRemaining                 time.Duration `cbor:"time"`
 	PromptTokens, MaxOutputTokens int64
@@ -100,7 +106,9 @@
 	// Peers returns the addresses at which other daemons serve delegated requests.
 	Peers func() []netip.AddrPort
 	// Dial opens connections. Nil means the standard dialer.
-	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Signed reports whether a header is that of an upstream's response. Nil means that all are.
+	Signed   func(http.Header) bool
 	Recorder *recorder.Recorder
 	// Now returns the time. Nil means time.Now.
 	Now func() time.Time
@@ -121,6 +129,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Signed == nil {
+		c.Signed = func(http.Header) bool { return true }
+	}
 	return &Client{config: c, skipped: make(map[netip.AddrPort]time.Time), client: &http.Client{
 		Transport: &http.Transport{
 			DialContext: c.Dial, DisableCompression: true, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
@@ -206,5 +217,22 @@
 		c.skip(peer, declineBackoff)
 		return nil, ErrDeclined
 	}
+	checked := response.Header.Get(checkedHeader) != ""
+	response.Header.Del(checkedHeader)
+	if !checked && deniedByConfiguration(response.StatusCode) && !c.config.Signed(response.Header) {
+		response.Body.Close()
+		c.skip(peer, declineBackoff)
+		return nil, fmt.Errorf("%w: status %d by a configuration of unknown age", ErrDeclined, response.StatusCode)
+	}
 	return response, nil
 }
+
+// deniedByConfiguration reports whether a daemon refuses a request with this status because of its configuration, before
+// any upstream runs it. The sending daemon has accepted the request by its own configuration.
+func deniedByConfiguration(status int) bool {
+	switch status {
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusRequestEntityTooLarge:
+		return true
+	}
+	return false
+}
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -40,7 +40,7 @@
 // A request has to arrive as its caller sent it: the other daemon authorizes, routes and charges it.
 func TestRequestArrivesUnchanged(t *testing.T) {
 	sent := &Request{
-		ID: "9c41", Method: "POST", Host: "a.example", Target: "/drafts/1?x=%2F", Header: http.Header{"X-A": {"1", "2"}}, Key: "k1",
+		ID: "9c41", Method: "POST", Host: "a.example", Target: "/drafts/1?x=%2F", Header: http.Header{"X-A": {"1", "2"}}, Key: "k1", Version: 7,
 		TimeRemaining: time.Second, PromptTokens: 100, MaxOutputTokens: 50, Parts: []Part{{ID: 1 << 63, Tokens: 60}}, ResumeAfter: "7", Resumes: "9c40", Executions: 1,
 		Body: []byte("\x00body"),
 	}
@@ -323,3 +323,47 @@
 		}
 	}
 }
+
+// Guards against a refusal of a daemon of an earlier release, which does not compare versions and may have an older
+// configuration. The answer of an upstream is returned, whatever its status.
+func TestDenialByUnknownConfigurationIsDeclined(t *testing.T) {
+	respond := func(status int, h http.Header) netip.AddrPort {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			for name := range h {
+				w.Header().Set(name, h.Get(name))
+			}
+			w.WriteHeader(status)
+		}))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	}
+	tests := []struct {
+		name   string
+		status int
+		header http.Header
+		want   error
+	}{
+		{"unknown key", http.StatusUnauthorized, nil, ErrDeclined},
+		{"unknown route", http.StatusNotFound, nil, ErrDeclined},
+		{"body too long", http.StatusRequestEntityTooLarge, nil, ErrDeclined},
+		{"answer of an upstream", http.StatusNotFound, http.Header{"Signature": {"s"}}, nil},
+		{"prepaid tokens are spent", http.StatusPaymentRequired, nil, nil},
+		{"current release", http.StatusUnauthorized, http.Header{checkedHeader: {"1"}}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := clientOf(respond(tt.status, tt.header))
+			client.config.Signed = func(h http.Header) bool { return h.Get("Signature") != "" }
+			response, err := client.Send(t.Context(), &Request{ID: "1", TimeRemaining: time.Minute})
+			if tt.want != nil {
+				require.ErrorIs(t, err, tt.want)
+				return
+			}
+			require.NoError(t, err)
+			response.Body.Close()
+			require.Equal(t, tt.status, response.StatusCode)
+			require.Empty(t, response.Header.Get(checkedHeader))
+		})
+	}
+}
--- a/delegator/serve.go
+++ b/delegator/serve.go
@@ -53,6 +53,7 @@
 	if !w.declined {
 		w.Header().Del(declinedHeader)
 	}
+	w.Header().Set(checkedHeader, "1")
 	w.begun = true
 	w.ResponseWriter.WriteHeader(status)
 }
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -90,7 +90,7 @@
 func (x *exchange) delegatedRequest() *delegator.Request {
 	r := x.request
 	d := &delegator.Request{
-		ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Key: r.Key, TimeRemaining: time.Until(x.deadline),
+		ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Key: r.Key, Version: x.version, TimeRemaining: time.Until(x.deadline),
 		PromptTokens: int64(r.PromptTokens), MaxOutputTokens: int64(r.MaxOutputTokens), Executions: x.executions, Counted: x.counted, ResumeAfter: r.ResumeAfter, Resumes: r.Resumes, Body: x.body,
 	}
 	for _, p := range r.PromptParts {
--- a/launcher/delegate.go
+++ b/launcher/delegate.go
@@ -22,6 +22,9 @@
 // delegatePeers returns the addresses at which the other daemons serve delegated requests.
 func (d *Daemon) delegatePeers() []netip.AddrPort { return d.peersAt(delegatePortOffset) }
 
+// signed reports whether a header is that of an upstream's response.
+func (d *Daemon) signed(h http.Header) bool { return d.config.Adapter.ParseResponseHeader(h).Signed }
+
 // upstreamAddresses returns the addresses of the upstreams of a service.
 func (d *Daemon) upstreamAddresses(service string) []netip.AddrPort {
 	var addresses []netip.AddrPort
@@ -50,12 +53,18 @@
 	return server, nil
 }
 
-// handleDelegated serves a request that another daemon has sent. A stopping daemon declines it.
+// handleDelegated serves a request that another daemon has sent. A stopping daemon declines it, and so does one whose
+// configuration is older than that of the other daemon.
 func (d *Daemon) handleDelegated(w http.ResponseWriter, r *http.Request, request *delegator.Request) {
 	if d.lifetime.stopping() {
 		delegator.Decline(w)
 		return
 	}
+	if table := d.activeTable.Table(); table == nil || table.Version() < request.Version {
+		d.config.Recorder.Count("delegator.outdated", 1)
+		delegator.Decline(w)
+		return
+	}
 	d.config.Recorder.Count("delegator.served", 1)
 	path, _, _ := strings.Cut(request.Target, "?")
 	f := &forwarder.Request{
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -273,7 +273,7 @@
 	d.retrier = retrier.New(s.retryConfig(time.Now(), d.knownMembers, rec))
 	d.forwarder = forwarder.New(forwarder.Config{
 		Hedger:    hedger.New(hedger.Config{Share: c.HedgeShare, Quantile: c.HedgeQuantile, Recorder: rec}),
-		Admission: d.admitter, Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Recorder: rec}),
+		Admission: d.admitter, Reachability: d.monitor, Delegate: delegator.NewClient(delegator.ClientConfig{Peers: d.delegatePeers, Dial: dial, Signed: d.signed, Recorder: rec}),
 		Quarantine: d.quarantiner, Permits: d.quarantineRegistry, Probe: func(ctx context.Context, address netip.AddrPort) error { return probe(ctx, dialUpstream, address) },
 		Tables: d.activeTable, Upstreams: d.registrar, Budgets: d.shares, Balancer: d.balancer, Limits: d.throttler, Streams: d.pinner, Sender: d.pool,
 		Retries:        d.retrier,
--- a/launcher/partition_test.go
+++ b/launcher/partition_test.go
@@ -37,7 +37,7 @@
 	refusesNew
 )
 
-// upstreamLink is the network between one daemon and the upstreams.
+// upstreamLink is the network between one daemon and the upstreams, or the store.
 type upstreamLink struct {
 	mode atomic.Int32
 	mu   sync.Mutex
@@ -112,9 +112,10 @@
 // partitionFleet is a fleet of daemons on loopback addresses.
 type partitionFleet struct {
 	fixture
-	block     string
-	links     []*upstreamLink
-	upstreams []*emulator.Runner
+	block      string
+	links      []*upstreamLink
+	storeLinks []*upstreamLink
+	upstreams  []*emulator.Runner
 }
 
 const fleetFrontPort, fleetReadyPort, fleetInternalPort = 18100, 18101, 18110
@@ -132,6 +133,7 @@
 	f.storeAddress = server.Listener.Addr().String()
 	for i := range daemons {
 		f.links = append(f.links, &upstreamLink{open: make(map[*partitionedConn]bool)})
+		f.storeLinks = append(f.storeLinks, &upstreamLink{open: make(map[*partitionedConn]bool)})
 		f.startMember(i)
 	}
 	for i := range daemons {
@@ -167,7 +169,8 @@
 
 func (f *partitionFleet) startMember(i int) {
 	store := platform.NewStore(platform.StoreConfig{
-		Address: f.storeAddress, CallTimeout: 5 * time.Second, PollTimeout: func() time.Duration { return 200 * time.Millisecond },
+		Address: f.storeAddress, Dial: f.storeLinks[i].dial,
+		CallTimeout: 5 * time.Second, PollTimeout: func() time.Duration { return 200 * time.Millisecond },
 	})
 	daemon := launcher.New(launcher.Config{
 		Settings: launcher.Settings{
@@ -187,25 +190,33 @@
 
 // served reports whether the first try of a request at a daemon is served with its whole response.
 func (f *partitionFleet) served(i int, path string) bool {
+	want := "done " + path
+	if strings.HasPrefix(path, "/drafts/") {
+		want = emulator.RunnerStream(6)
+	}
+	response, body, err := f.send(i, path)
+	return err == nil && response.StatusCode == http.StatusOK && body == want && response.Header.Get("Runner-Signature") != ""
+}
+
+// send sends the first try of a request to a daemon and returns the response and its body.
+func (f *partitionFleet) send(i int, path string) (*http.Response, string, error) {
 	request, err := http.NewRequest("POST", fmt.Sprintf("http://%s%s", f.address(i, fleetFrontPort), path), strings.NewReader("body"))
 	require.NoError(f.t, err)
 	request.Host = "a.example"
 	request.Header.Set("Attempt-Id", fmt.Sprintf("%x", f.attempts.Add(1)))
 	request.Header.Set("Deadline-Ms", "4000")
 	request.Header.Set("Authorization", "Bearer k1")
-	want := "done " + path
 	if strings.HasPrefix(path, "/drafts/") {
 		request.Header.Set("Token-Usage", "100,50")
 		request.Header.Set("Prompt-Prefix", "aa:60,bb:40")
-		want = emulator.RunnerStream(6)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return false
+		return nil, "", err
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && string(body) == want && response.Header.Get("Runner-Signature") != ""
+	return response, string(body), err
 }
 
 // servedOf returns how many of n first tries at a daemon are served, half of them plain requests and
@@ -275,3 +286,32 @@
 		})
 	}
 }
+
+// Guards against a change of the configuration that a daemon has accepted and that a request misses, because another
+// daemon, which serves the request for it, does not know the change: that one is partitioned from the store.
+func TestRequestIsNotServedByAnOlderConfiguration(t *testing.T) {
+	t.Parallel()
+	const added = `,{"name":"added","hostname":"a.example","prefix":"/added/","routeType":"non_idempotent","timeoutMs":5000,"backend":"desk","attempts":1}`
+	f := newPartitionFleet(t, 3)
+	f.storeLinks[1].set(resets)
+	f.links[0].set(resets)
+	require.Eventually(t, func() bool { return f.servedOf(4, 0) == 4 }, 20*time.Second, 50*time.Millisecond)
+	f.configure(2, added)
+	require.Eventually(t, func() bool { return f.served(0, "/added/x") }, 20*time.Second, 10*time.Millisecond)
+	for range 40 {
+		require.True(t, f.served(0, "/added/x"))
+	}
+	response, _, err := f.send(1, "/added/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, response.StatusCode, "the daemon that is partitioned from the store knows the change")
+
+	f.storeLinks[2].set(resets)
+	f.configure(3, added+strings.ReplaceAll(added, "added", "later"))
+	require.Eventually(t, func() bool {
+		response, _, err = f.send(0, "/later/x")
+		return err == nil && response.StatusCode != http.StatusNotFound
+	}, 20*time.Second, 10*time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "no daemon with this configuration reaches an upstream")
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	f.requireSingleExecutions()
+}
