launcher: the frontend follows the limits of the configuration

Cause: an http.Server takes its limits once, and serveFrontend read them when it opened the frontend. Evidence: the version is applied according to the log, and its routes work; TestChangedHeaderLimitTakesEffect gets 431 for 20 s without this change.

--- a/launcher/configuration.go
+++ b/launcher/configuration.go
@@ -47,6 +47,9 @@
 	// served without a limit.
 	d.shares.SetPrepaidLimits(prepaidLimits(table))
 	d.activeTable.Replace(table)
+	if frontend := d.frontend.Load(); frontend != nil {
+		frontend.update()
+	}
 	d.config.Recorder.Event(recorder.ConfigurationApplied, "version", table.Version(), "revision", e.Revision,
 		"services", len(table.Services()), "accounts", len(table.Accounts()))
 }
--- a/launcher/drain.go
+++ b/launcher/drain.go
@@ -57,8 +57,16 @@
 	return s
 }
 
-// shutDown closes the listener and waits until all connections have ended, or until ctx ends.
+// drainer is what a stopping daemon shuts down.
+type drainer interface {
+	shutDown(ctx context.Context) error
+}
+
+// shutDown closes the listener and waits until all connections have ended, or until ctx ends. A nil server has none.
 func (s *drainableServer) shutDown(ctx context.Context) error {
+	if s == nil {
+		return nil
+	}
 	err := s.listener.Close()
 	ticker := time.NewTicker(connectionCheckInterval)
 	defer ticker.Stop()
@@ -76,17 +84,11 @@
 }
 
 // shutDown completes the requests in flight of servers until ctx ends, after which they end with the
-// process. A server may be nil.
-func shutDown(ctx context.Context, servers ...*drainableServer) error {
+// process.
+func shutDown(ctx context.Context, servers ...drainer) error {
 	results := make(chan error, len(servers))
 	for _, s := range servers {
-		go func() {
-			if s == nil {
-				results <- nil
-				return
-			}
-			results <- s.shutDown(ctx)
-		}()
+		go func() { results <- s.shutDown(ctx) }()
 	}
 	var failed error
 	for range servers {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -195,6 +195,8 @@
 	// dropRemovedUpstreams.
 	cleanedGeneration int64
 
+	// frontend accepts requests of callers once it is open.
+	frontend atomic.Pointer[frontend]
 	lifetime lifetime
 	// requests is the context of all requests of callers and other daemons. endRequests ends it.
 	requests    context.Context
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -383,3 +383,32 @@
 	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
 	require.Empty(t, f.desk.Executions())
 }
+
+// Guards against limits of callers' headers that a running daemon takes from the configuration of its start only.
+func TestChangedHeaderLimitTakesEffect(t *testing.T) {
+	f := newFixture(t)
+	status := func() int {
+		request, err := http.NewRequest("GET", "http://"+f.front.Addr().String()+"/plain/1", http.NoBody)
+		require.NoError(t, err)
+		request.Host = "a.example"
+		request.Header.Set("Attempt-Id", fmt.Sprint(f.attempts.Add(1)))
+		request.Header.Set("Authorization", "Bearer k1")
+		request.Header.Set("X-Long", strings.Repeat("a", 30_000))
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return 0
+		}
+		response.Body.Close()
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status())
+	for version, limit := range []int{65536, 16384, 65536} {
+		text := fmt.Sprintf(configurationText, version+2, "")
+		f.store.PutAsOperator("op/config", []byte(strings.Replace(text, `"maxHeaderBytes":16384`, fmt.Sprintf(`"maxHeaderBytes":%d`, limit), 1)))
+		want := http.StatusOK
+		if limit < 30_000 {
+			want = http.StatusRequestHeaderFieldsTooLarge
+		}
+		require.Eventually(t, func() bool { return status() == want }, 20*time.Second, 10*time.Millisecond)
+	}
+}
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -57,15 +57,29 @@
 	return server, nil
 }
 
-func (d *Daemon) serveFrontend() (*drainableServer, error) {
-	limits := resolver.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-	if table := d.activeTable.Table(); table != nil {
-		limits = table.Limits()
-	}
+// serveFrontend accepts requests of callers.
+func (d *Daemon) serveFrontend() (*frontend, error) {
 	listener, err := d.config.Listen(d.config.Settings.FrontendAddress)
 	if err != nil {
 		return nil, err
 	}
+	f := newFrontend(frontendConfig{
+		Listener: d.link.Listener(listener), Limits: d.frontendLimits, NewServer: d.newFrontendServer, Recorder: d.config.Recorder,
+	})
+	d.frontend.Store(f)
+	f.update() // a configuration that arrived meanwhile did not find it
+	return f, nil
+}
+
+// frontendLimits returns the limits of the configuration in force, or the default limits if there is none yet.
+func (d *Daemon) frontendLimits() resolver.Limits {
+	if table := d.activeTable.Table(); table != nil {
+		return table.Limits()
+	}
+	return resolver.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+}
+
+func (d *Daemon) newFrontendServer(limits resolver.Limits) *http.Server {
 	next := d.config.Adapter.NewHandler(d.forwarder)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.lifetime.stopping() || d.saturation.saturated.Load() {
@@ -73,7 +87,7 @@
 		}
 		next.ServeHTTP(w, r)
 	})
-	server := newDrainableServer(&http.Server{
+	return &http.Server{
 		Handler:           d.resetIfIncomplete(handler),
 		BaseContext:       d.requestContext,
 		ConnContext:       withConnection,
@@ -81,9 +95,7 @@
 		IdleTimeout:       limits.IdleTimeout + idleMargin,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ErrorLog:          d.config.Recorder.HTTPErrorLog("front"),
-	}, d.link.Listener(listener))
-	go d.serve(server.Server, server.listener)
-	return server, nil
+	}
 }
 
 // requestContext returns the context of which those of all requests are derived.
@@ -92,7 +104,7 @@
 // stop shuts the daemon down: it waits until the platform sends new connections to other
 // daemons, completes the requests in flight, and returns the rest of the shares to the store.
 // Requests that are not complete by then are ended with a refusal.
-func (d *Daemon) stop(servers ...*drainableServer) error {
+func (d *Daemon) stop(servers ...drainer) error {
 	grace := max(d.config.Settings.GracePeriod-leaveMargin, 0)
 	now := time.Now()
 	d.lifetime.stop(now.Add(min(drainDelay, grace/2)), now.Add(grace))
--- a/recorder/catalogue_daemon.go
+++ b/recorder/catalogue_daemon.go
@@ -14,6 +14,8 @@
 	SettingsSkipped Code = 6007
 	// ReadinessChanged is logged when the daemon becomes ready or stops being ready.
 	ReadinessChanged Code = 6008
+	// FrontendLimitsChanged is logged when a configuration changes the limits of callers' connections.
+	FrontendLimitsChanged Code = 6009
 	// DaemonOverloaded is logged when the daemon begins or ends to refuse requests because it lacks a
 	// resource.
 	DaemonOverloaded Code = 6201
@@ -33,6 +35,8 @@
 	SettingsSkipped:  "settings_skipped",
 	ReadinessChanged: "readiness_changed",
 
+	FrontendLimitsChanged: "frontend_limits_changed",
+
 	DaemonOverloaded: "daemon_overloaded",
 
 	HTTPServerError: "http_server_error",
