cmd/laburnumline, soaker: SIGHUP at the start of a process does not end it; planned runs of the soak

Cause of that one: the default action of SIGHUP ends a process until it sets another.

The soak reports processes that end without having been killed or told to stop in all its runs.

--- a/cmd/laburnumline/process_test.go
+++ b/cmd/laburnumline/process_test.go
@@ -22,6 +22,7 @@
 
 	"laburnumline/emulator"
 	"laburnumline/platform"
+	"laburnumline/soaker"
 )
 
 // commandVariable makes the test binary run the command instead of its tests.
@@ -156,6 +157,7 @@
 // Guards against SIGHUP that ends a daemon while it completes its requests after SIGTERM: its handler was removed when
 // the planned stop began, and the default action of SIGHUP ends the process.
 func TestHangupDuringPlannedStopEndsNoRequest(t *testing.T) {
+	t.Parallel()
 	const events = 12
 	f := newProcessFixture(t, events, 100*time.Millisecond)
 	process := f.start()
@@ -192,3 +194,22 @@
 	hangup <- syscall.SIGHUP
 	<-e.ctx.Done()
 }
+
+// Guards against SIGHUP that ends a daemon between the start of its process and the first instruction of main, or
+// while it reads its settings.
+func TestHangupAtStartEndsNoDaemon(t *testing.T) {
+	t.Parallel()
+	f := newProcessFixture(t, 1, time.Millisecond)
+	for _, delay := range []time.Duration{0, 200 * time.Microsecond, 500 * time.Microsecond, time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond} {
+		process := f.command()
+		require.NoError(t, process.Start())
+		require.True(t, soaker.AwaitStart(process.Process.Pid, syscall.SIGHUP))
+		time.Sleep(delay)
+		for range 5 {
+			require.NoError(t, process.Process.Signal(syscall.SIGHUP))
+		}
+		f.awaitReady()
+		require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+		require.NoError(t, process.Wait(), "SIGHUP %v after the start", delay)
+	}
+}
--- a/cmd/laburnumline/soak.go
+++ b/cmd/laburnumline/soak.go
@@ -16,6 +16,8 @@
 	Seeds   uint64        `long:"seeds" default:"1" description:"number of seeds, one after another"`
 	Daemons int           `long:"daemons" default:"5" description:"number of daemons; from 29 on they use relays"`
 	Time    time.Duration `long:"time" default:"20s" description:"how long faults come with each seed"`
+	Planned bool          `long:"planned" description:"no faults: only stop and start daemons and change their settings files"`
+	Program string        `long:"program" description:"program of the daemons; the default is this one"`
 	Folder  string        `long:"folder" description:"where settings and logs of the seeds that fail are kept; the default is a new folder"`
 	Verbose bool          `long:"verbose" description:"write a line for each fault"`
 }
@@ -23,9 +25,11 @@
 var errPromisesBroken = errors.New("promises were broken")
 
 func (cmd *soakCommand) run(e *environment) error {
-	program, err := os.Executable()
-	if err != nil {
-		return fmt.Errorf("find the program: %w", err)
+	program, err := cmd.Program, error(nil)
+	if program == "" {
+		if program, err = os.Executable(); err != nil {
+			return fmt.Errorf("find the program: %w", err)
+		}
 	}
 	folder := cmd.Folder
 	if folder == "" {
@@ -53,7 +57,7 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return false, fmt.Errorf("make a folder: %w", err)
 	}
-	c := soaker.Config{Program: program, Daemons: cmd.Daemons, Duration: cmd.Time, Seed: seed, Folder: folder}
+	c := soaker.Config{Program: program, Daemons: cmd.Daemons, Duration: cmd.Time, Seed: seed, Planned: cmd.Planned, Folder: folder}
 	if cmd.Verbose {
 		c.Output = e.stdout
 	}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -35,6 +35,9 @@
 func (s *soak) sendRequests(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
 		req := randomDraft(random)
+		if s.config.Planned && req.part == crashPart {
+			continue
+		}
 		if random.IntN(3) == 0 {
 			req = request{path: "/plain/", key: firstKey}
 		}
@@ -101,10 +104,16 @@
 	}
 	response, err := client.Do(httpRequest)
 	if err != nil {
+		if ctx.Err() == nil {
+			s.history.recordCut(a) // also if no connection was opened, in which case the request has not run
+		}
 		return result{id: a.id, err: err}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
+	if err != nil && ctx.Err() == nil {
+		s.history.recordCut(a)
+	}
 	s.history.finish(a, response.StatusCode, response.Header.Get("Runner-Signature"), string(body), err)
 	s.history.checkPrepaid(s.fixture.currentPrepaid(), a.id)
 	if err != nil || response.StatusCode != http.StatusOK {
--- a/soaker/daemon.go
+++ b/soaker/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -22,10 +23,17 @@
 	frontend string
 	proxy    *proxy
 
-	mu          sync.Mutex
-	process     *exec.Cmd
-	closed      bool
-	supervisors sync.WaitGroup
+	// ended is called with a description when the process ends by itself.
+	ended func(string)
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	// killed and stopping are true once the process has been sent SIGKILL or SIGTERM.
+	killed, stopping bool
+	// startHangups draws after which times a process that starts is sent SIGHUP. Nil means that it is not.
+	startHangups *rand.Rand
+	closed       bool
+	supervisors  sync.WaitGroup
 }
 
 // restartDelay is how long the platform takes to restart a process.
@@ -98,10 +106,17 @@
 	if err := process.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", d.program, err)
 	}
-	d.process = process
+	d.process, d.killed, d.stopping = process, false, false
+	d.hangUpAtStart()
 	d.supervisors.Go(func() {
 		_ = process.Wait() // the process is restarted whatever its exit status
 		_ = log.Close()
+		d.mu.Lock()
+		killed, stopping := d.killed, d.stopping
+		d.mu.Unlock()
+		if endedByItself(process.ProcessState, killed, stopping) {
+			d.ended(fmt.Sprintf("%s: process %d ended by itself: %v, stopping %v", d.name, process.Process.Pid, process.ProcessState, stopping))
+		}
 		time.Sleep(restartDelay)
 		if err := d.start(); err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -110,10 +125,17 @@
 	return nil
 }
 
+// endedByItself reports whether a process ended without having been told to, or failed when it was told to stop.
+func endedByItself(state *os.ProcessState, killed, stopping bool) bool {
+	return !killed && !(stopping && state.Success())
+}
+
 // signal sends a signal to the current process.
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.killed = d.killed || s == syscall.SIGKILL
+	d.stopping = d.stopping || s == syscall.SIGTERM
 	if d.process != nil {
 		_ = d.process.Process.Signal(s) // fails if the process has ended, in which case it is restarted anyway
 	}
--- a/soaker/fixture.go
+++ b/soaker/fixture.go
@@ -24,6 +24,8 @@
 	tokensPerEvent      = 3
 	outputTokens        = eventsPerResponse * tokensPerEvent
 	upstreamsPerService = 2
+	// eventInterval is the time between two events of a stream.
+	eventInterval = 2 * time.Millisecond
 	// Each version of the model's software runs on upstreamsPerService upstreams.
 	firstSoftware, secondSoftware = "v1", "v2"
 	// topUpTokens is the number of tokens that a top-up adds to the account's prepaid tokens.
@@ -49,7 +51,8 @@
 	prepaid int
 }
 
-func newFixture() (*fixture, error) {
+// newFixture starts the stand-ins. Streams have an event each interval.
+func newFixture(interval time.Duration) (*fixture, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -67,7 +70,7 @@
 		}
 		f.deskUpstreams = append(f.deskUpstreams, desk)
 		for _, software := range softwareVersions {
-			if err := f.addModel(fmt.Sprint("model-", i, "-", software), software); err != nil {
+			if err := f.addModel(fmt.Sprint("model-", i, "-", software), software, interval); err != nil {
 				return nil, err
 			}
 		}
@@ -77,9 +80,9 @@
 
 var softwareVersions = []string{firstSoftware, secondSoftware}
 
-func (f *fixture) addModel(name, software string) error {
+func (f *fixture) addModel(name, software string, interval time.Duration) error {
 	model := emulator.NewRunner(emulator.RunnerConfig{
-		Name: name, Events: eventsPerResponse, EventInterval: 2 * time.Millisecond, CrashPart: crashPart, CrashDowntime: crashDowntime,
+		Name: name, Events: eventsPerResponse, EventInterval: interval, CrashPart: crashPart, CrashDowntime: crashDowntime,
 		Software: software,
 	})
 	f.modelUpstreams = append(f.modelUpstreams, model)
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -13,6 +13,9 @@
 // history records the requests of callers and their responses, and checks them. It is safe for
 // concurrent use.
 type history struct {
+	// planned is true if only planned work disturbs the daemons, which then answer each request that runs.
+	planned bool
+
 	mu         sync.Mutex
 	attempts   []*attempt
 	served     int
@@ -31,6 +34,8 @@
 	// refused is true when the response stated that the request has not been executed and never
 	// will be.
 	refused bool
+	// cut is true when the connection ended without a whole answer.
+	cut bool
 }
 
 func newHistory() *history { return &history{} }
@@ -76,6 +81,13 @@
 	}
 }
 
+// recordCut records that the connection of an attempt ended without a whole answer.
+func (h *history) recordCut(a *attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a.cut = true
+}
+
 // checkPrepaid compares the tokens that the account has used with those that it has prepaid.
 func (h *history) checkPrepaid(prepaid int, requestID string) {
 	h.mu.Lock()
@@ -113,6 +125,9 @@
 		if a.refused && executions[a.id] > 0 {
 			h.addViolationLocked("request %s was refused as not run, and ran", a.id)
 		}
+		if h.planned && a.cut && executions[a.id] > 0 {
+			h.addViolationLocked("request %s ran, and its connection ended without a whole answer", a.id)
+		}
 		if a.request.path == "/plain/" && executions[a.id] > 1 {
 			h.addViolationLocked("request %s ran %d times", a.id, executions[a.id])
 		}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -9,6 +9,7 @@
 //
 // The guarantees are checked against what callers and upstreams have seen:
 //
+//   - a daemon ends only when it is killed or told to stop, and in the latter case without an error;
 //   - an account never uses more tokens than it has prepaid;
 //   - a non-idempotent request is executed at most once, and a refused request never;
 //   - a response that ends without an error is the complete response to this request;
@@ -20,6 +21,9 @@
 //   - requests with a prompt part that crashes engines are soon refused by every daemon, and the
 //     others served.
 //
+// A planned run has no faults: daemons are only stopped and started, and their settings files change. Then a
+// request that runs is always answered.
+//
 // A seed repeats the schedule, but the processes run in real time and may behave differently.
 // The command therefore keeps the logs of a failed run and prints their folder.
 //
@@ -59,6 +63,8 @@
 	// Duration is how long faults are injected. Zero means 20 s.
 	Duration time.Duration
 	Seed     uint64
+	// Planned runs planned work instead of faults.
+	Planned bool
 	// Folder is where the daemons' settings and logs are written. It must exist.
 	Folder string
 	// Output receives a line for each fault. Nil means none.
@@ -108,7 +114,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var err error
-	if s.fixture, err = newFixture(); err != nil {
+	interval := eventInterval
+	if c.Planned {
+		interval = plannedEventInterval
+	}
+	if s.fixture, err = newFixture(interval); err != nil {
 		return nil, errors.Wrap(err, "set up the stand-ins")
 	}
 	defer s.fixture.close()
@@ -124,6 +134,9 @@
 	if err := s.awaitRecovery(ctx); err != nil {
 		return nil, errors.Wrap(err, "start")
 	}
+	if c.Planned {
+		return s.runPlanned(ctx)
+	}
 	s.runFaultsAndCallers(ctx)
 	if err := s.awaitRecovery(ctx); err != nil {
 		s.history.addViolation("not served again: %v", err)
@@ -137,18 +150,23 @@
 // runFaultsAndCallers sends requests and injects faults for the configured duration, then ends
 // the faults.
 func (s *soak) runFaultsAndCallers(ctx context.Context) {
+	s.runCallersBeside(ctx, s.injectFaults, s.stateLimits, s.restoreStore)
+	s.clearFaults()
+}
+
+// runCallersBeside sends requests, and runs other tasks meanwhile, for the configured duration.
+func (s *soak) runCallersBeside(ctx context.Context, tasks ...func(context.Context)) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.Duration)
 	defer cancel()
-	var senders errgroup.Group
+	var all errgroup.Group
 	for i := range callerCount {
 		random := rand.New(rand.NewPCG(s.config.Seed, uint64(i+1)))
-		senders.Go(func() error { s.sendRequests(ctx, random); return nil })
+		all.Go(func() error { s.sendRequests(ctx, random); return nil })
 	}
-	senders.Go(func() error { s.stateLimits(ctx); return nil })
-	senders.Go(func() error { s.restoreStore(ctx); return nil })
-	s.injectFaults(ctx)
-	_ = senders.Wait() // the functions return no errors
-	s.clearFaults()
+	for _, task := range tasks {
+		all.Go(func() error { task(ctx); return nil })
+	}
+	_ = all.Wait() // the functions return no errors
 }
 
 func (s *soak) startDaemons(block string) error {
@@ -162,6 +180,10 @@
 			return errors.Wrap(err, "set up a daemon")
 		}
 		s.daemons = append(s.daemons, d)
+		d.ended = func(text string) { s.history.addViolation("%s", text) }
+		if s.config.Planned {
+			d.startHangups = rand.New(rand.NewPCG(s.config.Seed, uint64(6000+i)))
+		}
 		if err := d.start(); err != nil {
 			return errors.Wrap(err, "start a daemon")
 		}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -44,6 +44,61 @@
 	}
 }
 
+// Guards against daemons that end requests, or themselves, while they are stopped and started and their settings files
+// change. Signals come in series, at any moment from the start of a process to its end.
+func TestPlannedWorkEndsNoRequest(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "laburnumline")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "laburnumline/cmd/laburnumline").CombinedOutput()
+	require.NoError(t, err, string(output))
+	report, err := Run(t.Context(), Config{Program: program, Seed: 1, Duration: 8 * time.Second, Folder: t.TempDir(), Planned: true})
+	require.NoError(t, err)
+	require.Empty(t, report.Violations, report)
+	require.Positive(t, report.Served)
+}
+
+// Guards against a checker that misses a process that ended by itself, or one that failed when it was stopped.
+func TestEndsOfProcesses(t *testing.T) {
+	tests := []struct {
+		name             string
+		killed, stopping bool
+		command          string
+		violated         bool
+	}{
+		{"killed", true, false, "kill -KILL $$", false},
+		{"stopped", false, true, "exit 0", false},
+		{"failed while it stopped", false, true, "exit 1", true},
+		{"hangup while it stopped", false, true, "kill -HUP $$", true},
+		{"ended by itself", false, false, "exit 0", true},
+		{"ended by a signal", false, false, "kill -HUP $$", true},
+	}
+	for _, tt := range tests {
+		process := exec.Command("sh", "-c", tt.command)
+		_ = process.Run() // its state is examined
+		require.Equal(t, tt.violated, endedByItself(process.ProcessState, tt.killed, tt.stopping), tt.name)
+	}
+}
+
+// Guards against a checker that misses a request that ran and whose connection ended without a whole answer.
+func TestHistoryReportsLostRequests(t *testing.T) {
+	f, err := newFixture(eventInterval)
+	require.NoError(t, err)
+	defer f.close()
+	h := newHistory()
+	for _, runs := range []bool{false, true} {
+		a := h.begin(request{path: "/plain/", key: firstKey})
+		h.recordCut(a)
+		if runs {
+			httpRequest, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "/plain/x", http.NoBody)
+			require.NoError(t, err)
+			httpRequest.Header.Set("Attempt-Id", a.id)
+			f.deskUpstreams[0].ServeHTTP(discardResponse{}, httpRequest)
+		}
+	}
+	require.Empty(t, h.check(f).Violations, "kills and partitions cut requests")
+	h.planned = true
+	require.Len(t, h.check(f).Violations, 1)
+}
+
 // Guards against a checker that accepts a successful response that is unsigned, incomplete or that
 // of another request, or that reports a refusal or a broken connection as a violation.
 func TestHistoryReportsInvalidResponses(t *testing.T) {
@@ -96,7 +151,7 @@
 // Guards against a checker that misses a non-idempotent request that was executed twice, or one
 // that was executed although its response stated that it never would be.
 func TestHistoryReportsExecutionAfterRefusalAndRepeatedExecution(t *testing.T) {
-	f, err := newFixture()
+	f, err := newFixture(eventInterval)
 	require.NoError(t, err)
 	defer f.close()
 	h := newHistory()
@@ -114,7 +169,7 @@
 // Guards against a checker that misses one token used beyond the prepaid ones, or that reports an
 // account that has used exactly what it has prepaid.
 func TestHistoryReportsOverspending(t *testing.T) {
-	f, err := newFixture()
+	f, err := newFixture(eventInterval)
 	require.NoError(t, err)
 	defer f.close()
 	h := newHistory()
