cmd/laburnumline: a daemon whose log has lost its reader serves on

Callers' connections were closed without an answer when the reader of a daemon's standard error went away: the runtime ends a process with SIGPIPE at the next write to it. Evidence: TestDaemonOutlivesReaderOfItsLog ends with an unexpected EOF without this change. Daemons now ignore SIGPIPE, so that the write fails and the line is lost.

--- a/cmd/laburnumline/main.go
+++ b/cmd/laburnumline/main.go
@@ -60,7 +60,7 @@
 	run(e *environment) error
 }
 
-// daemonCommand is a command that SIGHUP does not end.
+// daemonCommand is a command that SIGHUP and SIGPIPE do not end.
 type daemonCommand interface {
 	command
 	runsDaemon()
@@ -101,7 +101,10 @@
 		fmt.Fprintln(e.stderr, err)
 		return exitUsage
 	}
-	if _, ok := selected.(daemonCommand); !ok {
+	if _, ok := selected.(daemonCommand); ok {
+		// A write to a log whose reader has gone then fails instead of ending the daemon.
+		signal.Ignore(syscall.SIGPIPE)
+	} else {
 		stopOnHangup(e)
 	}
 	err = selected.run(e)
--- a/cmd/laburnumline/process_test.go
+++ b/cmd/laburnumline/process_test.go
@@ -213,3 +213,28 @@
 		require.NoError(t, process.Wait(), "SIGHUP %v after the start", delay)
 	}
 }
+
+// Guards against a daemon that ends with SIGPIPE at the next line of its log, because the reader of the log has gone.
+func TestDaemonOutlivesReaderOfItsLog(t *testing.T) {
+	t.Parallel()
+	const events = 10
+	f := newProcessFixture(t, events, 50*time.Millisecond)
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	process := f.command()
+	process.Stdout, process.Stderr = writer, writer
+	require.NoError(t, process.Start())
+	require.NoError(t, writer.Close())
+	f.awaitReady()
+	_, body := f.openStream("1")
+	require.NoError(t, reader.Close())
+	for range 5 {
+		require.NoError(t, process.Process.Signal(syscall.SIGHUP)) // logged
+		time.Sleep(20 * time.Millisecond)
+	}
+	rest, err := io.ReadAll(body)
+	require.NoError(t, err, "the stream was cut off")
+	require.Equal(t, events, strings.Count("\n"+string(rest), "\nid:"))
+	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, process.Wait())
+}
