launcher: an address that is in use is tried again

Cause: each listener was opened once, and an error of any of four ended the start. Those of relays, announcements, transfers and streams were only logged and never opened again. Evidence: TestDaemonWaitsForItsPorts fails without this change. The frontend and readiness now wait for their addresses, the others are added when theirs are free.

--- a/cmd/laburnumline/process_test.go
+++ b/cmd/laburnumline/process_test.go
@@ -238,3 +238,48 @@
 	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, process.Wait())
 }
+
+// Guards against a daemon that ends because a port is in use when it starts: by the process before it, by a connection, or
+// for good by another process, which has the port of the metrics or those for calls between daemons.
+func TestDaemonWaitsForItsPorts(t *testing.T) {
+	t.Parallel()
+	f := newProcessFixture(t, 3, time.Millisecond)
+	occupy := func(port int) net.Listener {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", f.ip, port))
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+		return l
+	}
+	front, ready, metrics := occupy(18000), occupy(18001), occupy(18002)
+	for port := 18010; port <= 18013; port++ {
+		occupy(port)
+		conn, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", f.ip, port))
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+	}
+	inUse := func(part string) func() bool {
+		return func() bool { return strings.Contains(f.log.String(), `"address_in_use" event=6010 part="`+part) }
+	}
+	process := f.command("--metrics", "18002")
+	require.NoError(t, process.Start())
+	for _, part := range []string{"metrics", "relay", "announcements", "transfers", "streams", "delegation", "readiness"} {
+		require.Eventually(t, inUse(part), time.Minute, time.Millisecond, part)
+	}
+	require.NoError(t, ready.Close())
+	require.Eventually(t, inUse("frontend"), time.Minute, time.Millisecond)
+	require.NoError(t, front.Close())
+	f.awaitReady()
+	_, body := f.openStream("1")
+	_, err := io.ReadAll(body)
+	require.NoError(t, err)
+	require.NoError(t, metrics.Close())
+	require.Eventually(t, func() bool {
+		response, err := http.Get("http://" + f.ip + ":18002/metrics")
+		if err == nil {
+			response.Body.Close()
+		}
+		return err == nil
+	}, time.Minute, 10*time.Millisecond)
+	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, process.Wait())
+}
--- a/launcher/delegate.go
+++ b/launcher/delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -34,23 +35,25 @@
 	return addresses
 }
 
-// serveDelegated returns the server for delegated requests, or nil if there is no port for it.
-func (d *Daemon) serveDelegated() (*drainableServer, error) {
+// serveDelegated serves requests that other daemons delegate, if there is a port for it, until ctx ends. Once the daemon
+// stops, which ends starting, it does not begin to.
+func (d *Daemon) serveDelegated(ctx, starting context.Context) error {
 	address := d.config.Settings.delegateAddress()
 	if !address.IsValid() {
-		return nil, nil
+		return nil
 	}
-	listener, err := d.config.Listen(address)
+	listener, err := listenUntilFree(starting, d.config.Recorder, "delegation", address, d.config.Listen)
 	if err != nil {
-		d.config.Recorder.Event(recorder.DelegationFailed, "step", "listen", "err", err)
-		return nil, err
+		return d.listenFailed(starting, recorder.DelegationFailed, err)
 	}
 	server := newDrainableServer(&http.Server{
 		Handler: delegator.Handler(d.handleDelegated), BaseContext: d.requestContext,
 		ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout, ErrorLog: d.config.Recorder.HTTPErrorLog("delegate"),
 	}, d.link.Listener(listener))
-	go d.serve(server.Server, server.listener)
-	return server, nil
+	d.delegateServer.Store(server)
+	defer context.AfterFunc(ctx, func() { server.Close() })()
+	d.serve(server.Server, server.listener)
+	return nil
 }
 
 // handleDelegated serves a request that another daemon has sent. A stopping daemon declines it, and so does one whose
--- a/launcher/frontend.go
+++ b/launcher/frontend.go
@@ -132,8 +132,11 @@
 	}
 }
 
-// shutDown closes the listener and waits until all connections have ended, or until ctx ends.
+// shutDown closes the listener and waits until all connections have ended, or until ctx ends. A nil frontend has none.
 func (f *frontend) shutDown(ctx context.Context) error {
+	if f == nil {
+		return nil
+	}
 	f.mu.Lock()
 	f.draining = true // current does not change any more
 	servers := append([]drainer{f.current}, drainers(f.retired)...)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -195,9 +195,10 @@
 	// dropRemovedUpstreams.
 	cleanedGeneration int64
 
-	// frontend accepts requests of callers once it is open.
-	frontend atomic.Pointer[frontend]
-	lifetime lifetime
+	// frontend accepts requests of callers, and delegateServer those of other daemons, once they are open.
+	frontend       atomic.Pointer[frontend]
+	delegateServer atomic.Pointer[drainableServer]
+	lifetime       lifetime
 	// requests is the context of all requests of callers and other daemons. endRequests ends it.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -380,24 +381,22 @@
 	tasks.Go(func() error { return d.serveTransfers(background) })
 	tasks.Go(func() error { return d.serveStreams(background) })
 	tasks.Go(func() error { return d.serveRelay(background) })
+	tasks.Go(func() error { d.serveMetrics(background); return nil })
+	tasks.Go(func() error { return d.serveDelegated(background, ctx) })
 
-	readinessServer, err := d.serveReadinessAndMetrics()
-	if err != nil {
-		return err
-	}
-	defer readinessServer.Close()
 	defer d.monitor.Close()
-	delegateServer, err := d.serveDelegated()
-	if err != nil {
-		return err
+	var frontend *frontend
+	readinessServer, err := d.serveReadiness(ctx)
+	if err == nil {
+		defer readinessServer.Close()
+		d.awaitConfiguration(ctx)
+		frontend, err = d.serveFrontend(ctx)
 	}
-	d.awaitConfiguration(ctx)
-	frontend, err := d.serveFrontend()
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		return err
 	}
 	<-ctx.Done()
-	err = d.stop(frontend, delegateServer)
+	err = d.stop(frontend, d.delegateServer.Load())
 	stopBackground()
 	return errors.Join(err, tasks.Wait())
 }
@@ -407,13 +406,14 @@
 	if !d.config.Settings.InternalAddress.IsValid() {
 		return nil
 	}
-	a, err := announcer.New(announcer.Config{
-		Address: d.config.Settings.InternalAddress, Peers: d.shares.Peers, Incarnation: uint32(d.incarnation),
-		Source: d.balancer, Sink: d.balancer, Suspects: d.quarantiner, Limits: d.throttler, Revisions: d, Recorder: d.config.Recorder,
+	a, err := listenUntilFree(ctx, d.config.Recorder, "announcements", d.config.Settings.InternalAddress, func(address netip.AddrPort) (*announcer.Announcer, error) {
+		return announcer.New(announcer.Config{
+			Address: address, Peers: d.shares.Peers, Incarnation: uint32(d.incarnation),
+			Source: d.balancer, Sink: d.balancer, Suspects: d.quarantiner, Limits: d.throttler, Revisions: d, Recorder: d.config.Recorder,
+		})
 	})
 	if err != nil {
-		d.config.Recorder.Event(recorder.NoticeFailed, "step", "listen", "err", err)
-		return err
+		return d.listenFailed(ctx, recorder.NoticeFailed, err)
 	}
 	d.announcer.Store(a)
 	a.Run(ctx)
--- a/launcher/relay.go
+++ b/launcher/relay.go
@@ -27,10 +27,9 @@
 	if !address.IsValid() {
 		return nil
 	}
-	l, err := d.config.Listen(address)
+	l, err := listenUntilFree(ctx, d.config.Recorder, "relay", address, d.config.Listen)
 	if err != nil {
-		d.config.Recorder.Event(recorder.RelayUnreachable, "step", "listen", "err", err)
-		return err
+		return d.listenFailed(ctx, recorder.RelayUnreachable, err)
 	}
 	server := &http.Server{Handler: relayer.Handler(d.combiner), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout}
 	stop := context.AfterFunc(ctx, func() {
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -29,9 +29,8 @@
 	answerTimeout = 200 * time.Millisecond
 )
 
-// serveReadinessAndMetrics starts the servers for readiness checks and, if configured, for
-// metrics. It returns the first.
-func (d *Daemon) serveReadinessAndMetrics() (*http.Server, error) {
+// serveReadiness starts the server for readiness checks.
+func (d *Daemon) serveReadiness(ctx context.Context) (*http.Server, error) {
 	mux := chi.NewRouter()
 	mux.Get(d.config.Adapter.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !d.isReady() {
@@ -41,25 +40,34 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: d.config.Recorder.HTTPErrorLog("ready")}
-	listener, err := d.config.Listen(d.config.Settings.ReadinessAddress)
+	listener, err := listenUntilFree(ctx, d.config.Recorder, "readiness", d.config.Settings.ReadinessAddress, d.config.Listen)
 	if err != nil {
 		return nil, err
 	}
 	go d.serve(server, listener)
+	return server, nil
+}
+
+// serveMetrics serves the metrics, if configured, until ctx ends. Requests are served without it.
+func (d *Daemon) serveMetrics(ctx context.Context) {
 	if !d.config.MetricsAddress.IsValid() {
-		return server, nil
+		return
 	}
-	metricsListener, err := d.config.Listen(d.config.MetricsAddress)
+	listener, err := listenUntilFree(ctx, d.config.Recorder, "metrics", d.config.MetricsAddress, d.config.Listen)
 	if err != nil {
-		return nil, errors.Join(err, server.Close())
+		if ctx.Err() == nil {
+			d.config.Recorder.Event(recorder.MetricsFailed, "address", d.config.MetricsAddress, "err", err)
+		}
+		return
 	}
-	go d.serve(&http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: defaultHeaderTimeout}, metricsListener)
-	return server, nil
+	server := &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
+	defer context.AfterFunc(ctx, func() { server.Close() })()
+	d.serve(server, listener)
 }
 
 // serveFrontend accepts requests of callers.
-func (d *Daemon) serveFrontend() (*frontend, error) {
-	listener, err := d.config.Listen(d.config.Settings.FrontendAddress)
+func (d *Daemon) serveFrontend(ctx context.Context) (*frontend, error) {
+	listener, err := listenUntilFree(ctx, d.config.Recorder, "frontend", d.config.Settings.FrontendAddress, d.config.Listen)
 	if err != nil {
 		return nil, err
 	}
--- a/launcher/stream.go
+++ b/launcher/stream.go
@@ -22,10 +22,11 @@
 	if !address.IsValid() {
 		return nil
 	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	conn, err := listenUntilFree(ctx, d.config.Recorder, "streams", address, func(a netip.AddrPort) (*net.UDPConn, error) {
+		return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	})
 	if err != nil {
-		d.config.Recorder.Event(recorder.StreamMessageFailed, "step", "listen", "err", err)
-		return err
+		return d.listenFailed(ctx, recorder.StreamMessageFailed, err)
 	}
 	d.streamConn.Store(conn)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
--- a/launcher/transfer.go
+++ b/launcher/transfer.go
@@ -20,10 +20,9 @@
 	if !address.IsValid() {
 		return nil
 	}
-	conn, err := transferrer.Listen(address)
+	conn, err := listenUntilFree(ctx, d.config.Recorder, "transfers", address, transferrer.Listen)
 	if err != nil {
-		d.config.Recorder.Event(recorder.LoanFailed, "step", "listen", "err", err)
-		return err
+		return d.listenFailed(ctx, recorder.LoanFailed, err)
 	}
 	t := transferrer.New(transferrer.Config{Conn: conn, Shares: d.shares, Peers: d.transferPeers, Recorder: d.config.Recorder})
 	d.transferrer.Store(t)
--- a/recorder/catalogue_daemon.go
+++ b/recorder/catalogue_daemon.go
@@ -16,6 +16,10 @@
 	ReadinessChanged Code = 6008
 	// FrontendLimitsChanged is logged when a configuration changes the limits of callers' connections.
 	FrontendLimitsChanged Code = 6009
+	// AddressInUse is logged when a part of the daemon cannot listen because its address is in use.
+	AddressInUse Code = 6010
+	// MetricsFailed is logged when the metrics cannot be served.
+	MetricsFailed Code = 6011
 	// DaemonOverloaded is logged when the daemon begins or ends to refuse requests because it lacks a
 	// resource.
 	DaemonOverloaded Code = 6201
@@ -36,6 +40,8 @@
 	ReadinessChanged: "readiness_changed",
 
 	FrontendLimitsChanged: "frontend_limits_changed",
+	AddressInUse:          "address_in_use",
+	MetricsFailed:         "metrics_failed",
 
 	DaemonOverloaded: "daemon_overloaded",
 
