cmd/laburnumline: read an invalid settings file again at the start

An empty or incomplete file is now read again for a second. Evidence: TestDaemonWaitsForSettingsThatAreBeingWritten fails without this change ("nodeName is missing").

--- a/cmd/laburnumline/launch.go
+++ b/cmd/laburnumline/launch.go
@@ -80,16 +80,16 @@
 	if path == "" {
 		return usageErrorf("name the settings file with --settings or in the environment as %s", platform.SettingsVariable)
 	}
-	settings, err := platform.LoadSettings(path)
+	defer klog.Flush()
+	rec := recorder.New()
+	settings, err := awaitSettings(e.ctx, path, rec)
 	if err != nil {
 		return usageError{err}
 	}
-	defer klog.Flush()
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(softMemoryFraction * float64(settings.MemoryLimit)))
 	}
-	rec := recorder.New()
 	store := platform.NewStore(platform.StoreConfig{
 		Address: settings.StoreAddress.String(), Dial: connector.Dialer(storeConnectTimeout, storeSilenceTimeout),
 		CallTimeout: storeCallTimeout, PollTimeout: randomPollTimeout,
--- a/cmd/laburnumline/process_test.go
+++ b/cmd/laburnumline/process_test.go
@@ -283,3 +283,27 @@
 	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, process.Wait())
 }
+
+// Guards against a daemon that ends because its settings file is being written when it starts. A file that stays invalid
+// is an error that names it.
+func TestDaemonWaitsForSettingsThatAreBeingWritten(t *testing.T) {
+	t.Parallel()
+	f := newProcessFixture(t, 1, time.Millisecond)
+	text, err := os.ReadFile(f.settings)
+	require.NoError(t, err)
+	for _, written := range [][]byte{nil, text[:len(text)/3], text[:len(text)-20]} {
+		require.NoError(t, os.WriteFile(f.settings, written, 0o600))
+		skipped := strings.Count(f.log.String(), "settings_skipped")
+		process := f.command()
+		require.NoError(t, process.Start())
+		require.Eventually(t, func() bool { return strings.Count(f.log.String(), "settings_skipped") > skipped }, time.Minute, time.Millisecond)
+		require.NoError(t, os.WriteFile(f.settings, text, 0o600))
+		f.awaitReady()
+		require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+		require.NoError(t, process.Wait())
+	}
+	require.NoError(t, os.WriteFile(f.settings, text[:len(text)/3], 0o600))
+	r := runCommand(t, "", "launch", "--settings", f.settings)
+	require.Equal(t, exitUsage, r.code)
+	require.Contains(t, r.stderr, f.settings)
+}
