launcher: a daemon is ready only once its frontend is open

Callers whom the platform sent to a starting daemon got their connection refused, because the daemon reported itself ready up to 25 ms before it opened its frontend. Evidence: the first run of the process tests, which connect as soon as the daemon is ready, and TestDaemonWaitsForItsPorts, fail without this change.

--- a/cmd/laburnumline/process_test.go
+++ b/cmd/laburnumline/process_test.go
@@ -126,11 +126,6 @@
 			return false
 		}
 		response.Body.Close()
-		front, err := net.Dial("tcp", f.ip+":18000")
-		if err != nil {
-			return false
-		}
-		front.Close()
 		return response.StatusCode == http.StatusOK
 	}, time.Minute, 5*time.Millisecond)
 }
@@ -267,10 +262,14 @@
 	}
 	require.NoError(t, ready.Close())
 	require.Eventually(t, inUse("frontend"), time.Minute, time.Millisecond)
+	response, err := http.Get("http://" + f.ip + ":18001/api/readyz")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "ready, although callers cannot connect")
 	require.NoError(t, front.Close())
 	f.awaitReady()
 	_, body := f.openStream("1")
-	_, err := io.ReadAll(body)
+	_, err = io.ReadAll(body)
 	require.NoError(t, err)
 	require.NoError(t, metrics.Close())
 	require.Eventually(t, func() bool {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -522,17 +522,17 @@
 func (d *Daemon) updateReadiness() {
 	ready := d.isReady()
 	if d.ready.Swap(ready) != ready {
-		d.config.Recorder.Event(recorder.ReadinessChanged, "ready", ready, "stopping", d.lifetime.stopping(), "crowded", d.saturation.saturated.Load(),
+		d.config.Recorder.Event(recorder.ReadinessChanged, "ready", ready, "frontend", d.frontend.Load() != nil, "stopping", d.lifetime.stopping(), "crowded", d.saturation.saturated.Load(),
 			"configuration", d.activeTable.Table() != nil, "upstreams", d.upstreamReplicator.Loaded(), "shares", d.shares.Joined())
 	}
 }
 
-// isReady reports whether the daemon accepts new connections: it is not stopping, its link
+// isReady reports whether the daemon accepts new connections: its frontend is open, it is not stopping, its link
 // is not saturated, and it has a configuration, upstreams and, if there are client
 // accounts, shares of their balances. How old these are does not matter.
 func (d *Daemon) isReady() bool {
 	table := d.activeTable.Table()
-	if d.lifetime.stopping() || d.saturation.saturated.Load() || table == nil || !d.upstreamReplicator.Loaded() {
+	if d.frontend.Load() == nil || d.lifetime.stopping() || d.saturation.saturated.Load() || table == nil || !d.upstreamReplicator.Loaded() {
 		return false
 	}
 	return !table.HasAccounts() || d.shares.Joined()
