forwarder: limit an event of a stream, and search it once

Sound requests beside a stream without the end of an event were served at a fifth of their rate, and the memory of the daemon grew until the request's deadline (report of other operators; reproduced with a daemon as a process).

Cause: what followed the last complete event was kept without a limit, and each read of 4 KB searched all of it again. Events now have at most 1 MB, what exceeds 64 KB is reserved, and only new bytes are searched. Blank lines and comments between two events are limited as well.

--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -49,42 +49,53 @@
 
 // forwardStream forwards events as they arrive, each only when it is complete.
 func (x *exchange) forwardStream(response *connector.Response) *failure {
-	var pending []byte
+	pending := eventBuffer{memory: &x.forwarder.memory}
+	defer pending.release()
 	started := false
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		if complete := framer.CompleteEvents(pending); complete > 0 {
+		events, invalid := []byte(nil), pending.add(buffer[:n])
+		if invalid == nil {
+			events, invalid = pending.complete()
+		}
+		if invalid != nil {
+			return x.invalidStream(response, invalid)
+		}
+		if len(events) > 0 {
 			started = true
-			head := framer.ForeignHead(pending[:complete])
+			head := framer.ForeignHead(events)
 			if head >= 0 {
-				complete = head
+				events = events[:head]
 			}
-			if complete > 0 && !x.forwardEvents(response, pending[:complete]) {
+			if len(events) > 0 && !x.forwardEvents(response, events) {
 				return x.responseFailure(errCallerDisconnected)
 			}
 			if head >= 0 {
-				x.recordBrokenStream(response, framer.ErrForeignHead)
-				return x.responseFailure(framer.ErrForeignHead)
+				return x.invalidStream(response, framer.ErrForeignHead)
 			}
-			pending = append(pending[:0], pending[complete:]...)
+			pending.remove(len(events))
 		}
 		if errors.Is(err, io.EOF) {
-			err = framer.CheckStreamEnd(response.Framing, started, pending)
+			err = framer.CheckStreamEnd(response.Framing, started, pending.data)
 			if err == nil {
-				return x.endStream(response, pending)
+				return x.endStream(response, pending.data)
 			}
 		}
 		if err != nil {
-			x.recordBrokenStream(response, err)
-			failed := x.responseFailure(err)
+			failed := x.invalidStream(response, err)
 			failed.connectionLost = true
 			return failed
 		}
 	}
 }
 
+// invalidStream records that the rest of a stream is lost or is no event.
+func (x *exchange) invalidStream(response *connector.Response, err error) *failure {
+	x.recordBrokenStream(response, err)
+	return x.responseFailure(err)
+}
+
 // endStream forwards what follows the last event of a complete stream, which is blank lines
 // and comments.
 func (x *exchange) endStream(response *connector.Response, rest []byte) *failure {
