forwarder, connector: bodies that end with their connection share the memory for responses

Sound requests were refused as overloaded, or ended with a daemon over its memory limit, while an upstream sent bodies without an end (report of other operators; reproduced with a daemon as a process: 209 MB with a limit of 256 MB).

Cause: a body that ends with its connection is read to its end first, up to 8 MB and without taking from the memory for responses, by any number of requests at once. Such bodies now reserve their memory; two at a time may exceed it, so that slow callers do not exclude them, and the others fail. Second sends read 64 KB ahead, and a response to an earlier call is skipped up to 1 MB.

--- a/cmd/laburnumline/process_test.go
+++ b/cmd/laburnumline/process_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -41,6 +43,7 @@
 	store    *emulator.Store
 	ip       string
 	settings string
+	program  string // the default is that of the test
 	log      safeBuffer
 }
 
@@ -83,7 +86,7 @@
 	server := httptest.NewServer(f.store.PlatformHandler())
 	t.Cleanup(server.Close)
 	text := fmt.Sprintf("nodeName = \"edge-1\"\nipAddress = %[1]q\nzone = \"z\"\ninternalPorts = [18010, 18020]\n"+
-		"[bind]\nfrontend = \"%[1]s:18000\"\nready = \"%[1]s:18001\"\n[limits]\nmemoryLimitMb = 256\n[ruleParams]\ngraceS = 20\nretryRatio = 1\nretryWindowS = 2\n"+
+		"[bind]\nfrontend = \"%[1]s:18000\"\nready = \"%[1]s:18001\"\n[limits]\nmemoryLimitMb = 134\n[ruleParams]\ngraceS = 20\nretryRatio = 1\nretryWindowS = 2\n"+
 		"[platform]\naddress = %[2]q\n", f.ip, server.Listener.Addr())
 	require.NoError(t, os.WriteFile(f.settings, []byte(text), 0o600))
 	t.Cleanup(func() {
@@ -97,7 +100,7 @@
 // command returns the process of the daemon, which is not started yet.
 func (f *processFixture) command(args ...string) *exec.Cmd {
 	f.t.Helper()
-	process := exec.Command(os.Args[0], append([]string{"launch"}, args...)...)
+	process := exec.Command(cmp.Or(f.program, os.Args[0]), append([]string{"launch"}, args...)...)
 	process.Env = append(os.Environ(), commandVariable+"=1", platform.SettingsVariable+"="+f.settings)
 	process.Stdout, process.Stderr = &f.log, &f.log
 	f.t.Cleanup(func() {
@@ -130,23 +133,41 @@
 	}, time.Minute, 5*time.Millisecond)
 }
 
-// openStream sends a request for a stream and returns when its first event has arrived.
-func (f *processFixture) openStream(id string) (*http.Response, *bufio.Reader) {
-	f.t.Helper()
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.ip+":18000/drafts/1", strings.NewReader("body"))
-	require.NoError(f.t, err)
+// do sends a request.
+func (f *processFixture) do(ctx context.Context, id, path string, deadline time.Duration) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.ip+":18000"+path+"1", strings.NewReader("body"))
+	if err != nil {
+		return nil, err
+	}
 	request.Host = "a.example"
-	for name, value := range map[string]string{"Attempt-Id": id, "Deadline-Ms": "20000", "Authorization": "Bearer k1", "Token-Usage": "100,50"} {
+	for name, value := range map[string]string{"Attempt-Id": id, "Deadline-Ms": fmt.Sprint(deadline.Milliseconds()), "Authorization": "Bearer k1", "Token-Usage": "100,50"} {
 		request.Header.Set(name, value)
 	}
-	response, err := http.DefaultClient.Do(request)
+	return http.DefaultClient.Do(request)
+}
+
+// send sends a request and returns its status and whole body.
+func (f *processFixture) send(ctx context.Context, id, path string, deadline time.Duration) (int, string, error) {
+	response, err := f.do(ctx, id, path, deadline)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+// openStream sends a request for a stream and returns when its first event has arrived.
+func (f *processFixture) openStream(id string) *bufio.Reader {
+	f.t.Helper()
+	response, err := f.do(f.t.Context(), id, "/drafts/", 20*time.Second)
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { response.Body.Close() })
 	require.Equal(f.t, http.StatusOK, response.StatusCode)
 	body := bufio.NewReader(response.Body)
 	_, err = body.Peek(1)
 	require.NoError(f.t, err)
-	return response, body
+	return body
 }
 
 // Guards against SIGHUP that ends a daemon while it completes its requests after SIGTERM: its handler was removed when
@@ -156,7 +177,7 @@
 	const events = 12
 	f := newProcessFixture(t, events, 100*time.Millisecond)
 	process := f.start()
-	_, body := f.openStream("1")
+	body := f.openStream("1")
 	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP} {
 		require.NoError(t, process.Process.Signal(s))
 		time.Sleep(50 * time.Millisecond)
@@ -221,7 +242,7 @@
 	require.NoError(t, process.Start())
 	require.NoError(t, writer.Close())
 	f.awaitReady()
-	_, body := f.openStream("1")
+	body := f.openStream("1")
 	require.NoError(t, reader.Close())
 	for range 5 {
 		require.NoError(t, process.Process.Signal(syscall.SIGHUP)) // logged
@@ -268,7 +289,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "ready, although callers cannot connect")
 	require.NoError(t, front.Close())
 	f.awaitReady()
-	_, body := f.openStream("1")
+	body := f.openStream("1")
 	_, err = io.ReadAll(body)
 	require.NoError(t, err)
 	require.NoError(t, metrics.Close())
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -49,6 +49,8 @@
 	maxIdlePerUpstream = 16
 	// maxStaleResponses limits the responses to earlier calls that are skipped.
 	maxStaleResponses = 3
+	// maxSkippedBytes limits the body of a response to an earlier call, which is read to reach the next response.
+	maxSkippedBytes = 1 << 20
 	// maxHeadBytes limits what is read from a connection until the header of the response to a
 	// call is complete, headers of skipped responses included.
 	maxHeadBytes = 64 << 10
--- a/connector/endless_test.go
+++ b/connector/endless_test.go
@@ -26,7 +26,7 @@
 }
 
 // Guards against a faulty upstream whose response header has no end: the daemon kept all of it and was killed for
-// its memory, with the requests of other callers.
+// its memory, with the requests of other callers. What precedes the header of the call's response has to end as well.
 func TestEndlessHeadFailsTheCall(t *testing.T) {
 	tests := []struct{ name, start, rest string }{
 		{"status line", "HTTP/1.1 200 ", "a"},
@@ -37,6 +37,7 @@
 		{"many headers", "HTTP/1.1 200 OK\r\nId: 1\r\n", "X-More: a\r\n"},
 		{"continued header", "HTTP/1.1 200 OK\r\nId: 1\r\nX-Long: a\r\n", " a\r\n"},
 		{"interim response", "HTTP/1.1 103 Early Hints\r\n", "Link: a\r\n"},
+		{"body of a skipped response", "HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n", "a"},
 		{"after a skipped response", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", "X-More: a\r\n"},
 	}
 	for _, tt := range tests {
--- a/connector/response.go
+++ b/connector/response.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -114,7 +115,10 @@
 		if response.Close || framer.Of(response) == framer.ConnectionClose {
 			return errForeignResponse
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if n, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes+1); !errors.Is(err, io.EOF) {
+			if n > maxSkippedBytes {
+				return errForeignResponse
+			}
 			return err
 		}
 	}
--- a/forwarder/buffer.go
+++ b/forwarder/buffer.go
@@ -19,12 +19,16 @@
 	freeResponseBytes = 64 << 10
 	// bufferStep is by how much the buffer of a response of unknown length grows.
 	bufferStep = 256 << 10
+	// maxUnreserved is the number of responses that are read to their end although there is no memory for them.
+	maxUnreserved = 2
 )
 
 // memory limits the bytes of responses that are buffered for all callers.
 type memory struct {
 	limit int64 // zero for none
 	used  atomic.Int64
+	// unreserved counts the responses that exceed the limit, because they have to be read to their end.
+	unreserved atomic.Int64
 }
 
 // take reserves n bytes if they are available.
@@ -36,6 +40,15 @@
 	return true
 }
 
+// takeUnreserved allows one response to exceed the limit, unless maxUnreserved do.
+func (m *memory) takeUnreserved() bool {
+	if m.unreserved.Add(1) > maxUnreserved {
+		m.unreserved.Add(-1)
+		return false
+	}
+	return true
+}
+
 // free gives n bytes back.
 func (m *memory) free(n int64) { m.used.Add(-n) }
 
@@ -43,14 +56,18 @@
 // for responses.
 var errNoMemory = errors.New("no memory for the response")
 
+// errNoMemoryToCheck means the same for a response that has to be read to its end before it is forwarded.
+var errNoMemoryToCheck = errors.New("no memory for a response that ends with its connection")
+
 // bufferedResponse is a response that was read completely, or as far as there was memory.
 type bufferedResponse struct {
 	status int
 	header http.Header
 	body   []byte
-	// reserved is what the response occupies of memory.
-	reserved int64
-	memory   *memory
+	// reserved is what the response occupies of memory. unreserved is true if it may exceed that.
+	reserved   int64
+	unreserved bool
+	memory     *memory
 }
 
 // release frees the memory of the response, which may be nil.
@@ -60,6 +77,10 @@
 	}
 	b.memory.free(b.reserved)
 	b.reserved, b.body = 0, nil
+	if b.unreserved {
+		b.unreserved = false
+		b.memory.unreserved.Add(-1)
+	}
 }
 
 // readResponse reads a response to its end. With errNoMemory it also returns what it has read.
@@ -80,7 +101,7 @@
 }
 
 // fill reads the body. A body that ends with its connection has to be read completely, because the caller cannot
-// see whether it is complete.
+// see whether it is complete. If there is no memory for that, maxUnreserved such responses are read nevertheless and the others fail.
 func (b *bufferedResponse) fill(response *connector.Response) error {
 	var content bytes.Buffer
 	defer func() { b.body = content.Bytes() }()
@@ -91,12 +112,18 @@
 		content.Grow(int(response.Length) + bytes.MinRead)
 	}
 	for {
-		if int64(content.Len())+freeResponseBytes > allowed && response.Framing != framer.ConnectionClose {
+		if int64(content.Len())+freeResponseBytes > allowed && !b.unreserved {
 			// A buffer that grows has up to twice the length of its content.
-			if !b.reserve(2 * bufferStep) {
+			switch {
+			case b.reserve(2 * bufferStep):
+				allowed += bufferStep
+			case response.Framing != framer.ConnectionClose:
 				return errNoMemory
+			case !b.memory.takeUnreserved():
+				return errNoMemoryToCheck
+			default:
+				b.unreserved = true
 			}
-			allowed += bufferStep
 		}
 		_, err := io.CopyN(&content, from, freeResponseBytes)
 		switch {
--- a/forwarder/buffer_test.go
+++ b/forwarder/buffer_test.go
@@ -146,3 +146,43 @@
 	require.True(t, errors.Is(err, errNoMemory))
 	require.Len(t, b.body, freeResponseBytes)
 }
+
+// Guards against responses that end with their connection and are kept without a limit for all of them together.
+func TestUnframedResponsesShareMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeUpstreams(t).forwarder()
+		f.memory.limit = 4 * bufferStep
+		wait := make(chan struct{})
+		var held, failed atomic.Int64
+		var responses sync.WaitGroup
+		for range 20 {
+			responses.Go(func() {
+				body := &repeated{text: "a", left: 4 << 20, wait: wait}
+				_, err := f.readResponse(&connector.Response{Status: http.StatusOK, Length: -1, Framing: framer.ConnectionClose, Header: http.Header{}, Body: body})
+				if errors.Is(err, errNoMemoryToCheck) {
+					failed.Add(1)
+				} else {
+					held.Add(body.read.Load())
+				}
+			})
+		}
+		synctest.Wait()
+		require.Equal(t, int64(20-maxUnreserved), failed.Load(), "few of 20 responses are read without memory")
+		close(wait)
+		responses.Wait()
+		require.Equal(t, int64(maxUnreserved*4<<20), held.Load())
+		require.Zero(t, f.memory.used.Load())
+		require.Zero(t, f.memory.unreserved.Load())
+	})
+}
+
+// Guards against a response that a second send reads ahead as a whole, besides that of the first.
+func TestReadAheadIsBounded(t *testing.T) {
+	body := &repeated{text: "a", left: 1 << 20}
+	r := &connector.Response{Status: http.StatusOK, Length: 1 << 20, Framing: framer.Length, Header: http.Header{}, Metadata: connector.Metadata{Signed: true}, Body: body}
+	require.True(t, readAhead(r))
+	require.LessOrEqual(t, body.read.Load(), int64(freeResponseBytes))
+	whole, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	require.NoError(t, err)
+	require.Len(t, whole, 1<<20)
+}
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -242,13 +242,17 @@
 	if isStream(response) {
 		return readAheadStream(response)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	data, err := io.ReadAll(io.LimitReader(response.Body, freeResponseBytes))
 	if err != nil {
 		response.Body = failedReader{err}
 		return false
 	}
+	if len(data) == freeResponseBytes {
+		response.Body = io.MultiReader(bytes.NewReader(data), response.Body)
+		return true // the rest is read once the other send has ended, so that two do not occupy memory
+	}
 	response.Body = bytes.NewReader(data)
-	return len(data) <= maxResponseBytes && framer.Check(response.Framing, response.Header, data) == nil
+	return framer.Check(response.Framing, response.Header, data) == nil
 }
 
 // readAheadStream is readAhead for a stream. Nothing is left of a stream that is not valid: the events of another
