platform, relayer, delegator, persister, launcher: limit what the store and other daemons send

Answers of the store now have at most 16 MB, headers 16 to 128 KB, and a batch of a watch at the gateway 64 MB.

--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -15,7 +15,10 @@
 	"laburnumline/router"
 )
 
-const operatorsHeaderTimeout = 10 * time.Second
+const (
+	operatorsHeaderTimeout = 10 * time.Second
+	operatorsHeaderBytes   = 64 << 10
+)
 
 // openOperators creates the HTTP server for operators and opens its listener.
 func (d *Daemon) openOperators() error {
@@ -43,7 +46,7 @@
 	if tlsConfig != nil {
 		d.operatorsListener = tls.NewListener(listener, tlsConfig)
 	}
-	d.operatorsServer = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: operatorsHeaderTimeout, ErrorLog: d.recorder.HTTPErrorLog("operators")}
+	d.operatorsServer = &http.Server{Handler: d.operatorsHandler(), ReadHeaderTimeout: operatorsHeaderTimeout, MaxHeaderBytes: operatorsHeaderBytes, ErrorLog: d.recorder.HTTPErrorLog("operators")}
 	return nil
 }
 
--- a/cmd/laburnumline/launch.go
+++ b/cmd/laburnumline/launch.go
@@ -27,6 +27,9 @@
 	storeSilenceTimeout = time.Second
 	// storeCallTimeout limits a call. A slow store takes up to 100 times as long as usual.
 	storeCallTimeout = 1500 * time.Millisecond
+	// storeMaxHeaderBytes and storeMaxBodyBytes limit a response of the store, whose pages hold some values of up to 1 MB.
+	storeMaxHeaderBytes = 64 << 10
+	storeMaxBodyBytes   = 16 << 20
 	// minPollTimeout and maxPollTimeout limit the duration of one long poll of a watch. A
 	// pending poll receives nothing if the store loses its history, and a change has to be
 	// in force within 2 s; maxPollTimeout stays below that. Durations are random: a change
@@ -92,7 +95,7 @@
 	}
 	store := platform.NewStore(platform.StoreConfig{
 		Address: settings.StoreAddress.String(), Dial: connector.Dialer(storeConnectTimeout, storeSilenceTimeout),
-		CallTimeout: storeCallTimeout, PollTimeout: randomPollTimeout,
+		CallTimeout: storeCallTimeout, PollTimeout: randomPollTimeout, MaxHeaderBytes: storeMaxHeaderBytes, MaxBodyBytes: storeMaxBodyBytes,
 		Restored: func(from, to int64) { rec.Event(recorder.StoreRestored, "from", from, "era", to) },
 	})
 	config := launcher.Config{Settings: settings, Adapter: platform.Adapter(store), Recorder: rec, HedgeShare: cmd.HedgeShare, HedgeQuantile: cmd.HedgeQuantile}
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -58,6 +58,8 @@
 	// maxHeadBytes and maxBodyBytes limit a delegated request.
 	maxHeadBytes = 1 << 20
 	maxBodyBytes = 8 << 20
+	// maxResponseHeaderBytes limits the header of a response, which contains that of the upstream.
+	maxResponseHeaderBytes = 128 << 10
 	// idleConnections is the number of connections that are kept to each daemon.
 	idleConnections = 32
 	idleTimeout     = 10 * time.Second
@@ -135,6 +137,7 @@
 	return &Client{config: c, skipped: make(map[netip.AddrPort]time.Time), client: &http.Client{
 		Transport: &http.Transport{
 			DialContext: c.Dial, DisableCompression: true, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		// A redirect is the upstream's response, which the caller gets as it is.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/launcher/delegate.go
+++ b/launcher/delegate.go
@@ -48,7 +48,7 @@
 	}
 	server := newDrainableServer(&http.Server{
 		Handler: delegator.Handler(d.handleDelegated), BaseContext: d.requestContext,
-		ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout, ErrorLog: d.config.Recorder.HTTPErrorLog("delegate"),
+		ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout, MaxHeaderBytes: internalHeaderBytes, ErrorLog: d.config.Recorder.HTTPErrorLog("delegate"),
 	}, d.link.Listener(listener))
 	d.delegateServer.Store(server)
 	defer context.AfterFunc(ctx, func() { server.Close() })()
--- a/launcher/internal.go
+++ b/launcher/internal.go
@@ -9,6 +9,10 @@
 	delegatePortOffset = 3
 )
 
+// internalHeaderBytes limits the headers of requests of other daemons, the platform and operators. What daemons send each
+// other is in the bodies.
+const internalHeaderBytes = 64 << 10
+
 // internalAddress returns the address of an internal port. It is the zero value if the platform gives too few
 // ports.
 func (s Settings) internalAddress(offset uint16) netip.AddrPort {
--- a/launcher/relay.go
+++ b/launcher/relay.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return d.listenFailed(ctx, recorder.RelayUnreachable, err)
 	}
-	server := &http.Server{Handler: relayer.Handler(d.combiner), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout}
+	server := &http.Server{Handler: relayer.Handler(d.combiner), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout, MaxHeaderBytes: internalHeaderBytes}
 	stop := context.AfterFunc(ctx, func() {
 		server.Close()
 		d.combiner.Close()
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -39,7 +39,7 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: d.config.Recorder.HTTPErrorLog("ready")}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: internalHeaderBytes, ErrorLog: d.config.Recorder.HTTPErrorLog("ready")}
 	listener, err := listenUntilFree(ctx, d.config.Recorder, "readiness", d.config.Settings.ReadinessAddress, d.config.Listen)
 	if err != nil {
 		return nil, err
@@ -60,7 +60,7 @@
 		}
 		return
 	}
-	server := &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
+	server := &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: internalHeaderBytes}
 	defer context.AfterFunc(ctx, func() { server.Close() })()
 	d.serve(server, listener)
 }
--- a/persister/gateway.go
+++ b/persister/gateway.go
@@ -28,6 +28,7 @@
 	keepAliveInterval     = 5 * time.Second
 	keepAliveProbes       = 3
 	maxResponseBytes      = 64 << 20
+	maxHeaderBytes        = 64 << 10
 )
 
 // GatewayConfig holds the settings of a Gateway.
@@ -114,6 +115,8 @@
 		TLSHandshakeTimeout: timeout,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/persister/gateway_watch.go
+++ b/persister/gateway_watch.go
@@ -78,15 +78,18 @@
 		return after, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	reached, err := receiveBatches(json.NewDecoder(response.Body), after, handle, openTimer)
+	reached, err := receiveBatches(response.Body, after, handle, openTimer)
 	g.failover(failovers, err)
 	return reached, err
 }
 
 // receiveBatches passes the batches of one connection to handle until the
 // connection ends, and returns the revision that it reached.
-func receiveBatches(decoder *json.Decoder, after contractor.Revision, handle func(Batch) error, openTimer *time.Timer) (contractor.Revision, error) {
+func receiveBatches(body io.Reader, after contractor.Revision, handle func(Batch) error, openTimer *time.Timer) (contractor.Revision, error) {
+	message := &io.LimitedReader{R: body}
+	decoder := json.NewDecoder(message)
 	for {
+		message.N = maxResponseBytes // of the next batch; its end is that of the connection
 		var response wireStream[wireWatchResponse]
 		if err := decoder.Decode(&response); err != nil {
 			if errors.Is(err, io.EOF) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -112,7 +112,7 @@
 	return &Store{
 		config: c, backoffs: make(map[netip.AddrPort]backoff), sessions: make(map[netip.AddrPort]relaySession),
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: c.Dial, DisableCompression: true, MaxIdleConnsPerHost: idleConnections,
+			DialContext: c.Dial, DisableCompression: true, MaxIdleConnsPerHost: idleConnections, MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 	}
 }
--- a/relayer/wire.go
+++ b/relayer/wire.go
@@ -25,6 +25,8 @@
 	// maxMessage limits a message in bytes. A transaction holds a row and the pool; a feed
 	// holds at most 1 MB of changes.
 	maxMessage = 4 << 20
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 16 << 10
 )
 
 // failure is the encoding of an error of the store. Kind is 1 plus an index of errorKinds, or 0
