admitter, forwarder: admit a body of unknown length as it is read

Cause: admission counted 64 KB for a body whose length is not stated, whatever it became. Such a body is now admitted in steps while it is read; where memory lacks, the request is refused as overloaded and has not run.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -108,7 +108,7 @@
 	requestCost = 2 << 10
 	// maxLength is what a body counts at most. The limit of the configuration, which is lower, is checked later.
 	maxLength = 16 << 20
-	// unknownLength is assumed for bodies without a stated length.
+	// unknownLength is assumed for bodies without a stated length. What they occupy beyond that is added by Grow.
 	unknownLength = 64 << 10
 
 	// minCPURateFraction is the same for the CPU, of which a refusal uses little.
@@ -201,6 +201,7 @@
 	TimeLeft time.Duration
 
 	unread int64 // bytes of the body that are still to be read
+	grown  int64 // bytes that it occupies beyond length
 }
 
 func (r *Request) length() int64 {
@@ -333,6 +334,23 @@
 	return resourceCount
 }
 
+// Grow admits n more bytes of a request whose length was unknown.
+func (a *Admitter) Grow(now time.Time, r *Request, n int64) Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if limit := a.config.Limits.Memory; limit > 0 {
+		alone := a.inProgress == RequestBytes+r.length()+r.grown // then it is admitted, as by Admit
+		if !alone && float64(a.inProgress+n) > maxOccupied*inProgressFraction*float64(limit) {
+			a.refused[InProgress].Inc(1)
+			return Decision{Resource: InProgress, RetryAfter: a.retryAfter(now, r)}
+		}
+		a.occupied[Memory] += float64(n) / float64(limit) // the next sample corrects it
+	}
+	a.inProgress += n
+	r.grown += n
+	return Decision{Admitted: true, Resource: resourceCount}
+}
+
 // backlogged reports whether a saturated link has too much to carry before the body of a request.
 func (a *Admitter) backlogged(now time.Time, r *Request) bool {
 	rate := linkTarget * a.config.Limits.LinkBytesPerSecond
@@ -380,7 +398,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.completed.add(now, rateDecay, r.cost())
-	a.inProgress -= RequestBytes + r.length()
+	a.inProgress -= RequestBytes + r.length() + r.grown
+	r.grown = 0
 	a.unread -= r.unread
 	r.unread = 0
 }
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -392,3 +392,34 @@
 	a.Done(now, &usual)
 	require.Zero(t, a.inProgress)
 }
+
+// Guards against requests of unknown length that together occupy more memory than requests whose length is stated, and
+// against memory that stays occupied after their end. One that is alone is admitted, however long it becomes.
+func TestGrowthIsLimitedForAllRequests(t *testing.T) {
+	const memory, step = 100 << 20, 1 << 20
+	a := New(Config{Limits: Limits{Memory: memory}, Random: func() float64 { return 0 }})
+	now := time.Unix(1000, 0)
+	var requests []*Request
+	for range 3 {
+		r := &Request{Length: -1, TimeLeft: 3 * time.Second}
+		require.True(t, a.Admit(now, r).Admitted)
+		requests = append(requests, r)
+	}
+	grown := 0
+	for d := (Decision{Admitted: true}); d.Admitted; grown++ {
+		if d = a.Grow(now, requests[grown%len(requests)], step); !d.Admitted {
+			require.Equal(t, InProgress, d.Resource)
+			require.Positive(t, d.RetryAfter)
+			break
+		}
+		require.Less(t, grown, memory/step)
+	}
+	require.LessOrEqual(t, int64(grown)*step, int64(inProgressFraction*memory))
+	a.Done(now, requests[0])
+	a.Done(now, requests[1])
+	for range memory / step {
+		require.True(t, a.Grow(now, requests[2], step).Admitted, "it is alone")
+	}
+	a.Done(now, requests[2])
+	require.Zero(t, a.inProgress)
+}
--- a/forwarder/admission_test.go
+++ b/forwarder/admission_test.go
@@ -12,11 +12,13 @@
 
 	"laburnumline/admitter"
 	"laburnumline/delegator"
+	"laburnumline/resolver"
 )
 
 // admission is a fake of an Admitter that admits some requests.
 type admission struct {
 	left, inProgress, unread int
+	growth                   int64 // bytes that it still admits
 	last                     admitter.Request
 }
 
@@ -31,6 +33,11 @@
 	return admitter.Decision{Admitted: true}
 }
 
+func (a *admission) Grow(_ time.Time, _ *admitter.Request, n int64) admitter.Decision {
+	a.growth -= n
+	return admitter.Decision{Admitted: a.growth >= 0, RetryAfter: 700 * time.Millisecond}
+}
+
 func (a *admission) BodyRead(time.Time, *admitter.Request) { a.unread-- }
 func (a *admission) Done(time.Time, *admitter.Request)     { a.inProgress-- }
 
@@ -79,3 +86,49 @@
 	require.Len(t, upstreams.calls, 1)
 	require.Zero(t, a.inProgress)
 }
+
+// Guards against bodies in chunks that fill the memory of a daemon, although each is within the limit: admission knows
+// their length only as they are read.
+func TestBodyOfUnknownLengthIsAdmittedAsItIsRead(t *testing.T) {
+	const limit = 4 << 20
+	tests := []struct {
+		name           string
+		growth, length int64
+		status         int
+		most           int64 // bytes that are read
+	}{
+		{"short", 0, admittedBodyBytes - 1, http.StatusOK, admittedBodyBytes},
+		{"admitted", 2 * limit, limit - 1, http.StatusOK, limit},
+		{"not admitted", 0, limit - 1, http.StatusServiceUnavailable, admittedBodyBytes},
+		{"admitted in part", 4 * bodyStepBytes, limit - 1, http.StatusServiceUnavailable, admittedBodyBytes + 2*bodyStepBytes},
+		{"longer than allowed", 4 * limit, 2 * limit, http.StatusRequestEntityTooLarge, limit + 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			upstreams := newFakeUpstreams(t, fakeResponse{status: http.StatusOK, body: "x"})
+			table, err := resolver.NewTable(resolver.Document{
+				Version: 1, Services: []resolver.Service{{Name: "drafts"}}, Limits: resolver.Limits{BodyBytes: limit},
+				Routes: []resolver.Route{{Name: "again", Host: "a.example", Prefix: "/again/", Repeatability: resolver.Repeatable, Attempts: 1, TrafficSplit: []resolver.WeightedService{{Service: "drafts", Weight: 1}}}},
+			})
+			require.NoError(t, err)
+			upstreams.table = table
+			a := &admission{left: 1, growth: tt.growth}
+			f := upstreams.forwarder()
+			f.config.Admission = a
+			body := &repeated{text: "a", left: 1 << 40}
+			w := httptest.NewRecorder()
+			f.Serve(t.Context(), w, &Request{
+				ID: "7", Method: "POST", Host: "a.example", Path: "/again/1", Target: "/again/1", Header: http.Header{},
+				Body: io.LimitReader(body, tt.length), Length: -1, CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(),
+			})
+			require.Equal(t, tt.status, w.Code)
+			require.LessOrEqual(t, body.read.Load(), tt.most)
+			if tt.status == http.StatusServiceUnavailable {
+				require.Equal(t, "0.700", w.Header().Get("Retry-After"))
+				require.Equal(t, "close", w.Header().Get("Connection"))
+				require.Empty(t, upstreams.calls)
+			}
+			require.Zero(t, a.inProgress)
+		})
+	}
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -190,12 +190,19 @@
 	control := http.NewResponseController(x.writer)
 	// Only writers in tests do not support deadlines; their bodies do not block.
 	_ = control.SetReadDeadline(x.deadline)
-	_, err := b.ReadFrom(io.LimitReader(x.request.Body, limit+1))
+	body := x.request.Body
+	if x.admitted != nil && x.request.Length < 0 {
+		body = &admittedBody{exchange: x, body: body, admitted: admittedBodyBytes}
+	}
+	_, err := b.ReadFrom(io.LimitReader(body, limit+1))
 	_ = control.SetReadDeadline(time.Time{})
 	return err
 }
 
 func bodyRefusal(ctx context.Context, err error) *refuser.Refusal {
+	if refusal := (*refuser.Refusal)(nil); errors.As(err, &refusal) {
+		return refusal
+	}
 	reason := refuser.BadRequest
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded): // checked first, as it also ends ctx
