soaker: SIGTERM may end a process that has not run its program yet

A process that is told to stop within a millisecond of its start ends by the signal, which is no end by itself. Found by reading; no run has shown it.

--- a/soaker/daemon.go
+++ b/soaker/daemon.go
@@ -125,9 +125,12 @@
 	return nil
 }
 
-// endedByItself reports whether a process ended without having been told to, or failed when it was told to stop.
+// endedByItself reports whether a process ended without having been told to, or failed when it was told to stop. SIGTERM
+// itself ends a process that has not run its program yet.
 func endedByItself(state *os.ProcessState, killed, stopping bool) bool {
-	return !killed && !(stopping && state.Success())
+	status, ok := state.Sys().(syscall.WaitStatus)
+	terminated := ok && status.Signaled() && status.Signal() == syscall.SIGTERM
+	return !killed && !(stopping && (state.Success() || terminated))
 }
 
 // signal sends a signal to the current process.
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -66,6 +66,8 @@
 	}{
 		{"killed", true, false, "kill -KILL $$", false},
 		{"stopped", false, true, "exit 0", false},
+		{"stopped at its start", false, true, "kill -TERM $$", false},
+		{"terminated by another", false, false, "kill -TERM $$", true},
 		{"failed while it stopped", false, true, "exit 1", true},
 		{"hangup while it stopped", false, true, "kill -HUP $$", true},
 		{"ended by itself", false, false, "exit 0", true},
