administrator: a concurrent repetition of an operation is recognised when the state has changed already

An operator who sent one change through two daemons at the same time could get 412 or 409 for it, although it had been accepted.

Cause: the operation is looked up in the history before the state is read. If the other daemon commits in between, the state is later than expected, and the attempt ended with that.

--- a/administrator/change.go
+++ b/administrator/change.go
@@ -41,11 +41,10 @@
 		return a.repeatedContractResponse(ctx, change.contract.Account, earlier)
 	}
 	for range maxCommitAttempts {
-		resp, err := a.attemptContractChange(ctx, r, s, change)
-		if !errors.Is(err, persister.ErrConflict) {
-			return resp, err
+		resp, changeErr := a.attemptContractChange(ctx, r, s, change)
+		if !showsLaterChange(changeErr) {
+			return resp, changeErr
 		}
-		a.config.Recorder.CountRetry("admin_conflict")
 		// The same operation may have been accepted through another daemon.
 		earlier, err := a.findAccepted(ctx, s, r.operation, r.fingerprint())
 		if err != nil {
@@ -54,10 +53,24 @@
 		if earlier != nil {
 			return a.repeatedContractResponse(ctx, change.contract.Account, earlier)
 		}
+		if !errors.Is(changeErr, persister.ErrConflict) {
+			return response{}, changeErr
+		}
+		a.config.Recorder.CountRetry("admin_conflict")
 	}
 	return response{}, persister.ErrConflict
 }
 
+// showsLaterChange reports whether an attempt failed because of a change since its operation was looked up, which may be
+// that of the operation itself.
+func showsLaterChange(err error) bool {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p.Type == problemChanged || p.Type == problemExists || p.Type == problemNotFound || p.Type == problemRetired
+	}
+	return errors.Is(err, persister.ErrConflict)
+}
+
 // repeatedContractResponse returns the response to an operation that was accepted
 // before. It shows the current contract, which may have changed again since.
 func (a *Administrator) repeatedContractResponse(ctx context.Context, account contractor.Account, earlier *Entry) (response, error) {
--- a/administrator/upstreams.go
+++ b/administrator/upstreams.go
@@ -153,6 +153,7 @@
 func (a *Administrator) changeUpstream(ctx context.Context, r *request, change upstreamChange) (response, error) {
 	s := upstreamSubject(change.name)
 	earlier, err := a.findRepeated(ctx, r, s)
+	var changeErr error
 	for range maxCommitAttempts {
 		if err != nil {
 			return response{}, err
@@ -160,17 +161,24 @@
 		if earlier != nil {
 			return a.repeatedUpstreamResponse(ctx, change.name, earlier)
 		}
-		resp, err := a.attemptUpstreamChange(ctx, r, s, change)
-		if !errors.Is(err, persister.ErrConflict) {
-			return resp, err
+		if changeErr != nil && !errors.Is(changeErr, persister.ErrConflict) {
+			return response{}, changeErr
+		}
+		var resp response
+		resp, changeErr = a.attemptUpstreamChange(ctx, r, s, change)
+		if !showsLaterChange(changeErr) {
+			return resp, changeErr
 		}
 		a.config.Recorder.CountRetry("admin_conflict")
 		earlier, err = a.findAccepted(ctx, s, r.operation, r.fingerprint())
-		if err != nil {
-			return response{}, err
-		}
 	}
-	return response{}, persister.ErrConflict
+	if err != nil {
+		return response{}, err
+	}
+	if earlier != nil {
+		return a.repeatedUpstreamResponse(ctx, change.name, earlier)
+	}
+	return response{}, changeErr
 }
 
 func (a *Administrator) repeatedUpstreamResponse(ctx context.Context, name string, earlier *Entry) (response, error) {
