soaker: a process that is just being started gets SIGHUP once its program runs

Trace: it had been started less than a millisecond before and had written no line, so the kernel's default action applied before the program had run an instruction; of 24 processes that get SIGHUP at once 14 end so, of those that get it 0.2 ms later none. No program can prevent it. Signals at random moments now wait until the program has changed what SIGHUP does, like those at the start.

--- a/soaker/planned.go
+++ b/soaker/planned.go
@@ -61,12 +61,23 @@
 			if err := d.changeSettings(); err != nil {
 				s.logf("%s: %v", d.name, err)
 			}
-			d.signal(syscall.SIGHUP)
+			d.hangUp()
 			time.Sleep(time.Duration(random.Int64N(int64(maxHangupPause))))
 		}
 	}
 }
 
+// hangUp sends SIGHUP to the current process. The kernel ends a process that has not run an instruction of its program, which
+// no program can prevent, so a process that is just being started gets the signal right after that.
+func (d *daemon) hangUp() {
+	d.mu.Lock()
+	process := d.process.Process
+	d.mu.Unlock()
+	if AwaitStart(process.Pid, syscall.SIGHUP) {
+		_ = process.Signal(syscall.SIGHUP) // fails if the process has ended
+	}
+}
+
 // changeSettings writes the settings file again, in place.
 func (d *daemon) changeSettings() error {
 	text, err := os.ReadFile(d.settingsPath())
