--- a/review/second/client.go
+++ b/review/second/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"regexp"
@@ -24,7 +25,8 @@
 	// maxTries is the number of attempts that a client makes within its time limit.
 	maxTries = 4
 	promptIn = 1460
-	tokenOut = 3 * eventsPerStream
+	// sharedParts is the number of different prompt parts that requests share.
+	sharedParts = 222
 )
 
 var nextID atomic.Int64
@@ -42,11 +44,18 @@
 	events   int
 	versions map[string]bool
 	complete bool
+	// signature names the runner whose answer the client has got at answeredAt. leaving is true if the answer says that it
+	// leaves.
+	signature  string
+	answeredAt time.Time
+	leaving    bool
 }
 
 // stream is a client's request for a stream with all its attempts.
 type stream struct {
 	tries []*try
+	// parts are the prompt's parts before its own one, key is the caller's key. No two requests have the same body.
+	parts, key, body string
 	// lastEvent is the last event that the client has, first the attempt that brought the first one.
 	lastEvent int
 	first     string
@@ -60,9 +69,9 @@
 	active  sync.WaitGroup
 }
 
-// send begins streams at a rate until stop is closed.
-func (t *traffic) send(w *world, perSecond int, stop <-chan struct{}) {
-	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+// send begins streams until stop is closed.
+func (t *traffic) send(w *world, stop <-chan struct{}) {
+	ticker := time.NewTicker(time.Second / time.Duration(w.load.perSecond))
 	defer ticker.Stop()
 	for {
 		select {
@@ -73,15 +82,20 @@
 		t.active.Add(1)
 		go func() {
 			defer t.active.Done()
-			s := &stream{}
-			t.mu.Lock()
-			t.streams = append(t.streams, s)
-			t.mu.Unlock()
-			s.run(w)
+			t.begin(w, &stream{key: key, parts: fmt.Sprintf("5c1e%04x:350", rand.IntN(sharedParts))})
 		}()
 	}
 }
 
+// begin runs a stream.
+func (t *traffic) begin(w *world, s *stream) {
+	t.mu.Lock()
+	t.streams = append(t.streams, s)
+	t.mu.Unlock()
+	s.body = strings.Repeat(newID(), 100)
+	s.run(w)
+}
+
 // run makes attempts until the stream is complete.
 func (s *stream) run(w *world) {
 	deadline := time.Now().Add(timeLimit)
@@ -113,17 +127,17 @@
 		t.inTouch = t.inTouch && d.inTouch()
 		w.logf("client attempt %s at %s, takes up %v: status %d, %d events of %v, complete %v", t.id, d.name, t.takesUp, t.status, t.events, t.versions, t.complete)
 	}()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.frontend()+streamPrefix+"2f", strings.NewReader(strings.Repeat("x", 1500)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.frontend()+streamPrefix+"2f", strings.NewReader(s.body))
 	if err != nil {
 		return 0, false
 	}
 	request.Host = routeHost
 	h := request.Header
 	h.Set("Attempt-Id", t.id)
-	h.Set("Authorization", "Bearer "+key)
+	h.Set("Authorization", "Bearer "+s.key)
 	h.Set("Model-Id", "m")
-	h.Set("Token-Usage", fmt.Sprintf("%d,%d", promptIn, tokenOut))
-	h.Set("Prompt-Prefix", "5c1e07a2:350,e440"+t.id[8:]+":1110")
+	h.Set("Token-Usage", fmt.Sprintf("%d,%d", promptIn, 3*w.load.events))
+	h.Set("Prompt-Prefix", fmt.Sprintf("%s,e440%s:1110", s.parts, t.id[8:]))
 	h.Set("Deadline-Ms", strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	if s.lastEvent > 0 {
 		h.Set("Last-Event-Id", strconv.Itoa(s.lastEvent))
@@ -135,17 +149,18 @@
 		return 0, true
 	}
 	defer response.Body.Close()
-	t.status = response.StatusCode
+	t.status, t.answeredAt = response.StatusCode, time.Now()
+	t.signature, t.leaving = response.Header.Get("Runner-Signature"), response.Header.Get("Server-Leaving") == "1"
 	if response.StatusCode != http.StatusOK {
 		after, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64) // zero without the header
 		return min(time.Duration(after*float64(time.Second)), time.Until(deadline)/3), response.StatusCode >= http.StatusInternalServerError
 	}
-	s.read(t, response, silence)
+	s.read(w, t, response, silence)
 	return 0, !s.complete
 }
 
 // read reads events until the stream ends.
-func (s *stream) read(t *try, response *http.Response, silence *time.Timer) {
+func (s *stream) read(w *world, t *try, response *http.Response, silence *time.Timer) {
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
 		silence.Reset(eventGap)
@@ -160,6 +175,6 @@
 			t.versions[m[1]] = true
 		}
 	}
-	t.complete = lines.Err() == nil && s.lastEvent == eventsPerStream
+	t.complete = lines.Err() == nil && s.lastEvent == w.load.events
 	s.complete = s.complete || t.complete
 }
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -30,7 +30,7 @@
 // caseFunc runs a case and reports whether the rule was broken.
 type caseFunc func(w *world, trouble bool) (broken bool, err error)
 
-var cases = map[string]caseFunc{"versions": runVersions}
+var cases = map[string]caseFunc{"versions": runVersions, "leaving": runLeaving, "parts": runParts}
 
 func main() {
 	program := flag.String("program", "target/laburnumline", "program of the daemon")
--- a/review/second/versions.go
+++ b/review/second/versions.go
@@ -7,7 +7,6 @@
 )
 
 const (
-	streamsPerSecond = 26
 	// darkTime is how long a machine without power is dark, as in the site file.
 	darkTime = 3500 * time.Millisecond
 	// releaseDelay is the time from the loss of power to the first runner of another version.
@@ -21,6 +20,7 @@
 // runVersions takes the power of one machine. Its clients take their streams up at others. Meanwhile the first runners of
 // another version of the software join, while all those of the first version serve. With RELEASE=0 they do not join.
 func runVersions(w *world, trouble bool) (broken bool, err error) {
+	w.load = load{perSecond: 26, events: 57, firstToken: 250 * time.Millisecond} // of rig-ask
 	w.writeConfiguration(1)
 	for _, z := range zones {
 		for i := range 2 {
@@ -34,7 +34,7 @@
 	}
 	time.Sleep(calmTime)
 	t, stop := &traffic{}, make(chan struct{})
-	go t.send(w, streamsPerSecond, stop)
+	go t.send(w, stop)
 	time.Sleep(8 * time.Second)
 	dark := w.busiest()
 	if trouble {
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -21,6 +21,8 @@
 	routeHost    = "yese36.example"
 	key          = "n2ctnfzs989anu6wsjnb"
 	tenant       = "hule930"
+	smallKey     = "k7vq02h8x3mzt5c1ryed"
+	smallTenant  = "pubo540"
 	modelService = "delo42a"
 	streamPrefix = "/kapu710/"
 
@@ -49,6 +51,7 @@
 	server  *http.Server
 	address string
 	daemons []*daemon
+	load    load
 
 	mu      sync.Mutex
 	record  bytes.Buffer
@@ -57,6 +60,13 @@
 	once    sync.Once
 }
 
+// load is the traffic of a case: streams that begin in a second, events of a stream, and the time from the arrival of a request at
+// its runner to the head of the answer.
+type load struct {
+	perSecond, events int
+	firstToken        time.Duration
+}
+
 // newWorld starts the store. The operator's first configuration is written before the daemons start.
 func newWorld(program string) (*world, error) {
 	folder, err := os.MkdirTemp("", "review-second")
@@ -118,8 +128,11 @@
 			"name": modelService, "healthPath": "/healthz", "maxConnections": 360,
 			"backendEngine": object{"batchSlots": 64, "kvCapacity": 448_621, "interval": 3},
 		}},
-		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
-		"tenants": []object{{"name": tenant, "apiKeys": []string{key}, "prepaid": 1_000_000_000}},
+		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
+		"tenants": []object{
+			{"name": tenant, "apiKeys": []string{key}, "prepaid": 1_000_000_000},
+			{"name": smallTenant, "apiKeys": []string{smallKey}, "prepaid": 1_000_000_000},
+		},
 	})
 	if err != nil {
 		panic(err) // the types above can be encoded
