--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Runs the case after the build of the deploy file and review/build-2.sh. Exits with 1 if the rule was broken, 0 if it held, 2
+# if the case could not run. TROUBLE=0 lets the beats of the runners take effect at once.
+cd "$(dirname "$0")" || exit 2
+exec ../../target/second -program ../../target/laburnumline -case leaving -record record.txt
--- a/review/second/client.go
+++ b/review/second/client.go
@@ -146,6 +146,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: connectTime}).DialContext}}
 	response, err := client.Do(request)
 	if err != nil {
+		t.hang(ctx)
 		return 0, true
 	}
 	defer response.Body.Close()
@@ -156,9 +157,19 @@
 		return min(time.Duration(after*float64(time.Second)), time.Until(deadline)/3), response.StatusCode >= http.StatusInternalServerError
 	}
 	s.read(w, t, response, silence)
+	if !t.complete {
+		t.hang(ctx)
+	}
 	return 0, !s.complete
 }
 
+// hang waits until the client gives the attempt up, if its connection hangs.
+func (t *try) hang(ctx context.Context) {
+	if t.daemon.hangs(t.at) {
+		<-ctx.Done()
+	}
+}
+
 // read reads events until the stream ends.
 func (s *stream) read(w *world, t *try, response *http.Response, silence *time.Timer) {
 	lines := bufio.NewScanner(response.Body)
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -13,7 +13,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -30,7 +32,7 @@
 // caseFunc runs a case and reports whether the rule was broken.
 type caseFunc func(w *world, trouble bool) (broken bool, err error)
 
-var cases = map[string]caseFunc{"versions": runVersions, "leaving": runLeaving, "parts": runParts}
+var cases = map[string]caseFunc{"versions": runVersions, "leaving": runLeaving, "parts": runParts, "restart": runRestart}
 
 func main() {
 	program := flag.String("program", "target/laburnumline", "program of the daemon")
@@ -56,11 +58,15 @@
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		return exitNotRun
 	}
-	time.AfterFunc(maxDuration, func() {
-		fmt.Fprintln(os.Stderr, "the case could not run: it takes too long")
+	giveUp := func(reason string) {
+		fmt.Fprintln(os.Stderr, "the case could not run:", reason)
 		w.close()
 		os.Exit(exitNotRun)
-	})
+	}
+	time.AfterFunc(maxDuration, func() { giveUp("it takes too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { giveUp((<-signals).String()) }()
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.logf("case %s, disruption %v", name, trouble)
 	broken, err := runCase(w, trouble)
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -247,6 +247,8 @@
 	misses  int
 	// attempts counts the attempts of clients that are in progress.
 	attempts int
+	// powerLostAt is when the machine last lost power, or zero.
+	powerLostAt time.Time
 	// disturbedUntil is until when the machine is not in touch.
 	disturbedUntil time.Time
 }
@@ -369,6 +371,17 @@
 func (d *daemon) losePower(dark time.Duration) {
 	d.disturb(time.Now().Add(dark))
 	d.signal(syscall.SIGSTOP)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.powerLostAt = time.Now()
+}
+
+// hangs reports whether a connection that was opened at a time hangs, because the machine has lost power since. The client does not
+// see that it ends.
+func (d *daemon) hangs(openedAt time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.powerLostAt.After(openedAt)
 }
 
 // regainPower ends the process that was silent, and starts a new one.
