pinner: copy the records of streams also while one software version serves

Callers saw: a VM loses power, and before its streams are resumed the first upstreams of a second software version join.

Cause: a daemon copied the records of its streams only while several versions served, and those of the last 15 s when a second one appeared. A daemon without power cannot do that then, so nobody has the records, two versions are possible, and the streams are refused.

Change: records are always copied. While one version serves, those of 0.1 s go in few datagrams to three daemons that the sender's address determines. A second version makes all daemons be asked.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -108,8 +108,8 @@
 
 // Streams records the software versions that began event streams, for all daemons.
 type Streams interface {
-	Pin(s pinner.Stream, software string, replicate bool)
-	Lookup(ctx context.Context, s pinner.Stream, all bool) (software string, ok bool)
+	Pin(s pinner.Stream, software string, several bool)
+	Lookup(ctx context.Context, s pinner.Stream, several bool) (software string, ok bool)
 }
 
 // Budgets reserves tokens for requests.
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -61,6 +62,8 @@
 	crashInterval, restartInterval time.Duration
 	// callersOnly is true if daemons make one attempt only, so that callers resume all streams.
 	callersOnly bool
+	// idle is the time before the first request, callerDelay that from the end of an attempt to the next one. Zero means 150 ms.
+	idle, callerDelay time.Duration
 	// lost is the fraction of the messages between daemons that is lost, messageDelay the delay
 	// of the others.
 	lost         float64
@@ -228,6 +231,7 @@
 		Self: f.members[i], Peers: func() []netip.AddrPort { return f.others[i] },
 		Send: func(to netip.AddrPort, datagram []byte) { f.deliver(d, f.members[i], to, datagram) },
 	})
+	go d.pinner.Run(d.ended)
 	f.daemons[i] = d
 	d.forwarder = New(Config{
 		Tables: f, Upstreams: d.registrar, Streams: d.pinner, Budgets: f, Balancer: balancer.New(balancer.Config{}), Limits: throttler.New(throttler.Config{}),
@@ -412,7 +416,7 @@
 		if s.complete || status == http.StatusNotFound {
 			break
 		}
-		time.Sleep(150 * time.Millisecond)
+		time.Sleep(cmp.Or(f.scenario.callerDelay, 150*time.Millisecond))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -574,7 +578,9 @@
 		time.AfterFunc(step.at, func() { step.do(f) })
 	}
 	for age := time.Duration(0); age < s.duration; age = time.Since(f.start) {
-		go f.run()
+		if age >= s.idle {
+			go f.run()
+		}
 		time.Sleep(time.Second / time.Duration(s.rate))
 		if age >= nextUpdate {
 			nextUpdate += listInterval
@@ -671,6 +677,11 @@
 	return versionStep{at, func(f *versionFleet) { f.crashDaemons(len(f.daemons) / 2) }}
 }
 
+// killSome ends some daemons at one moment.
+func killSome(at time.Duration, count int) versionStep {
+	return versionStep{at, func(f *versionFleet) { f.crashDaemons(count) }}
+}
+
 // outage makes all calls to the store fail for a time.
 func outage(from, to time.Duration) []versionStep {
 	return []versionStep{
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -380,6 +380,7 @@
 	tasks.Go(func() error { return d.announce(background) })
 	tasks.Go(func() error { return d.serveTransfers(background) })
 	tasks.Go(func() error { return d.serveStreams(background) })
+	tasks.Go(func() error { d.pinner.Run(background); return nil })
 	tasks.Go(func() error { return d.serveRelay(background) })
 	tasks.Go(func() error { d.serveMetrics(background); return nil })
 	tasks.Go(func() error { return d.serveDelegated(background, ctx) })
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -5,13 +5,16 @@
 // upstreams of the version that began it only. A caller may resume its stream at
 // another daemon than the one that began it, and that one may have died with the stream.
 //
-// Each daemon records the versions of the streams that it begins. While a service has several
-// versions, it also sends each record to a few other daemons, the replicas, which rendezvous
-// hashing of the stream determines. A daemon that does not know a stream asks its replicas,
-// then, if several versions are possible, all other daemons. Records and questions are single datagrams: a lost record leaves
+// Each daemon records the versions of the streams that it begins, and sends each record to a few
+// other daemons, because it may lose power at any moment. While a service has several versions, a
+// record goes at once to the replicas of its stream, which rendezvous hashing determines. While
+// it has one, records are collected for replicationInterval and go to the replicas of the daemon. A
+// daemon that does not know a stream asks the replicas of the stream, then, if several versions are possible, all
+// other daemons. Records and questions are single datagrams: a lost record leaves
 // other copies, and a stream that nobody knows must not continue.
 //
 //	p := pinner.New(pinner.Config{Self: address, Peers: peers, Send: send})
+//	go p.Run(ctx)
 //	p.Pin(pinner.StreamOf(attemptID), "v1.2", true)
 //	software, ok := p.Lookup(ctx, pinner.StreamOf(attemptID), true) // at another daemon
 package pinner
@@ -45,6 +48,9 @@
 const (
 	// replicas is the number of daemons that get a copy of each record.
 	replicas = 3
+	// replicationInterval is the time for which records are collected while a service has one version.
+	// A daemon that dies takes the records of that time with it.
+	replicationInterval = 100 * time.Millisecond
 	// Retention is the minimum time for which a record is kept. Callers resume a stream within
 	// their deadline, which is shorter.
 	Retention = time.Minute
@@ -83,8 +89,10 @@
 	// recent and older are the records of the last two generations.
 	recent, older map[Stream]record
 	rotatedAt     time.Time
-	questions     map[uint64]*question
-	lastQuestion  uint64
+	// unsent are the records that wait for the next call of replicate.
+	unsent       []copied
+	questions    map[uint64]*question
+	lastQuestion uint64
 }
 
 // New returns a Pinner without records.
@@ -98,19 +106,63 @@
 	}
 }
 
-// Pin records the version of a stream, and sends copies to the replicas if replicate is true.
-func (p *Pinner) Pin(s Stream, software string, replicate bool) {
+// Run sends copies of records to other daemons until ctx ends.
+func (p *Pinner) Run(ctx context.Context) {
+	ticker := time.NewTicker(replicationInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.replicate()
+		}
+	}
+}
+
+// Pin records the version of a stream. If the service has several versions, another daemon may be asked for it at any
+// moment, so copies are sent at once. Otherwise Run sends them.
+func (p *Pinner) Pin(s Stream, software string, several bool) {
 	p.store(s, record{software: software, begunAt: p.config.Now()})
-	if !replicate {
+	c := copied{Stream: s, Software: software}
+	if !several {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if len(p.unsent) < maxRecords {
+			p.unsent = append(p.unsent, c)
+		}
 		return
 	}
 	for _, peer := range p.replicasOf(s) {
 		if peer != p.config.Self {
-			p.send(peer, &message{Records: []copied{{Stream: s, Software: software}}})
+			p.send(peer, &message{Records: []copied{c}})
 		}
 	}
 }
 
+// replicate sends copies of the collected records to the replicas of this daemon.
+func (p *Pinner) replicate() {
+	p.mu.Lock()
+	records := p.unsent
+	p.unsent = nil
+	p.mu.Unlock()
+	if len(records) == 0 {
+		return
+	}
+	own := StreamOf(p.config.Self.String())
+	peers := slices.DeleteFunc(p.membersFor(own), func(a netip.AddrPort) bool { return a == p.config.Self })
+	for _, peer := range peers[:min(len(peers), replicas)] {
+		p.sendRecords(peer, records)
+	}
+}
+
+// sendRecords sends copies of records in as few datagrams as possible.
+func (p *Pinner) sendRecords(peer netip.AddrPort, records []copied) {
+	for chunk := range slices.Chunk(records, maxCopied) {
+		p.send(peer, &message{Records: chunk})
+	}
+}
+
 // ReplicateRecent sends copies of the recent records to their replicas. It is called when a service
 // gets a second version.
 func (p *Pinner) ReplicateRecent() {
@@ -133,9 +185,7 @@
 	}
 	delete(byPeer, p.config.Self)
 	for peer, list := range byPeer {
-		for chunk := range slices.Chunk(list, maxCopied) {
-			p.send(peer, &message{Records: chunk})
-		}
+		p.sendRecords(peer, list)
 	}
 }
 
@@ -181,8 +231,8 @@
 }
 
 // Lookup returns the version of a stream, or false if no daemon that answers knows it. In a large
-// fleet it asks the replicas, and the other daemons only if all is true.
-func (p *Pinner) Lookup(ctx context.Context, s Stream, all bool) (software string, ok bool) {
+// fleet it asks the replicas of the stream, and the other daemons only if its service has several versions.
+func (p *Pinner) Lookup(ctx context.Context, s Stream, several bool) (software string, ok bool) {
 	if software, ok := p.known(s); ok {
 		return software, true
 	}
@@ -192,7 +242,7 @@
 		first = peers
 	}
 	software, ok = p.ask(ctx, s, first)
-	if ok || !all {
+	if ok || !several {
 		return software, ok
 	}
 	rest := slices.DeleteFunc(slices.Clone(peers), func(a netip.AddrPort) bool { return slices.Contains(first, a) })
@@ -201,13 +251,19 @@
 
 // replicasOf returns the daemons that keep copies of a stream's record, which may include this one.
 func (p *Pinner) replicasOf(s Stream) []netip.AddrPort {
+	members := p.membersFor(s)
+	return members[:min(len(members), replicas)]
+}
+
+// membersFor returns all daemons in the order in which rendezvous hashing prefers them for a stream.
+func (p *Pinner) membersFor(s Stream) []netip.AddrPort {
 	members := append(slices.Clone(p.config.Peers()), p.config.Self)
 	weights := make(map[netip.AddrPort]uint64, len(members))
 	for _, m := range members {
 		weights[m] = rendezvousWeight(s, m)
 	}
 	slices.SortFunc(members, func(a, b netip.AddrPort) int { return cmp.Compare(weights[b], weights[a]) })
-	return members[:min(len(members), replicas)]
+	return members
 }
 
 func rendezvousWeight(s Stream, member netip.AddrPort) uint64 {
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -91,6 +91,36 @@
 	}
 }
 
+// A daemon loses power while its service has one version. Others must know the versions of its streams when they are asked,
+// because a second version may join before that.
+func TestRecordsOfASingleVersionOutliveTheirDaemon(t *testing.T) {
+	for _, daemons := range []int{2, 7, 295} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, fleet := newNetwork(daemons)
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				go fleet[0].Run(ctx)
+				const streams = 100
+				for i := range streams {
+					fleet[0].Pin(StreamOf(fmt.Sprint(i)), "v1.2", false)
+				}
+				time.Sleep(replicationInterval + 20*time.Millisecond)
+				require.LessOrEqual(t, n.sent, replicas*streams/maxCopied)
+				require.LessOrEqual(t, n.longest, MaxMessageBytes)
+				n.crash(fleet[0])
+				for i := range streams {
+					software, ok := fleet[1].Lookup(t.Context(), StreamOf(fmt.Sprint(i)), true)
+					require.True(t, ok)
+					require.Equal(t, "v1.2", software)
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // In a large fleet that starts anew, callers resume many streams that nobody knows. While one version is
 // possible, each question must not go to the whole fleet.
 func TestUnknownStreamIsAskedOfReplicasOnly(t *testing.T) {
@@ -103,8 +133,7 @@
 	})
 }
 
-// While a service has one version, records stay at the daemon. When it gets a second one, the recent
-// ones are copied.
+// When a service gets a second version, recent records are copied to the replicas of their streams, which are asked first.
 func TestRecentRecordsAreReplicatedOnDemand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, fleet := newNetwork(7)
