quarantiner: a request that tells suspected parts apart is tested at once

Callers saw: a small account pauses while requests begin to come that hold its first prompt part and one that crashes upstreams.

Cause: three crashes that no output refutes within 2 s quarantine every shared part of the requests that crashed, and the only way out is a permit after 10 s, doubled by each further crash, for any request with the part.

Change: a request that lacks a part which explains the crashes of its own part gets a permit at once, one of the fleet at a time. Served, it clears its parts everywhere; crashed, the other part explains one crash less, and after two the part is not tested early any more. A permit for a part that the store shows as cleared is not needed.

--- a/executor/complete.go
+++ b/executor/complete.go
@@ -252,7 +252,7 @@
 	case quarantiner.Quarantined:
 		return nil, c.newRefusal(refuser.Quarantined, "quarantine", nil)
 	case quarantiner.Suspect:
-		permit, err := x.config.Permits.Permit(ctx, d)
+		permit, err := x.config.Permits.Permit(ctx, d, c.parts...)
 		if err != nil {
 			return nil, c.withExecution(err)
 		}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -78,7 +78,7 @@
 // Permits issues the fleet's permits to run requests suspected of crashing upstreams, and
 // records crashes in the store.
 type Permits interface {
-	Permit(ctx context.Context, d quarantiner.Digest) (*quarantiner.Permit, error)
+	Permit(ctx context.Context, d quarantiner.Digest, parts ...quarantiner.Digest) (*quarantiner.Permit, error)
 	Report(ctx context.Context, d quarantiner.Digest) error
 }
 
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -90,6 +90,14 @@
 	// those of them that were refused as not executed.
 	sentIDs        map[string]bool
 	falselyRefused int
+	// sound are all other requests.
+	sound []soundRequest
+}
+
+// soundRequest is a request that does not crash upstreams.
+type soundRequest struct {
+	at    time.Time
+	begun bool // its stream has begun
 }
 
 func newCrashFleet(t *testing.T, daemons, upstreams int, noticeDelay time.Duration) *crashFleet {
@@ -216,6 +224,7 @@
 		ID: fmt.Sprint(random.Uint64()), Method: "POST", Host: "a.example", Path: path, Target: fmt.Sprint(path, random.Uint64()), Header: http.Header{}, Key: "key",
 		Body: strings.NewReader(body), Length: int64(len(body)), CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(),
 	}
+	at := request.ReceivedAt
 	for _, id := range parts {
 		request.PromptParts = append(request.PromptParts, balancer.Part{ID: id, Tokens: 300})
 	}
@@ -239,6 +248,7 @@
 		if body == crashBody {
 			return
 		}
+		f.sound = append(f.sound, soundRequest{at: at, begun: w.Code == http.StatusOK})
 		if aborted {
 			f.aborted++
 			return
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -27,7 +27,7 @@
 
 // Permits grants the fleet's permits to execute a request with a suspected part.
 type Permits interface {
-	Permit(ctx context.Context, d quarantiner.Digest) (*quarantiner.Permit, error)
+	Permit(ctx context.Context, d quarantiner.Digest, parts ...quarantiner.Digest) (*quarantiner.Permit, error)
 }
 
 const (
@@ -91,7 +91,7 @@
 
 // requestPermit obtains the permit to execute a request with a suspected part.
 func (x *exchange) requestPermit(ctx context.Context, part quarantiner.Digest) *refuser.Refusal {
-	permit, err := x.forwarder.config.Permits.Permit(ctx, part)
+	permit, err := x.forwarder.config.Permits.Permit(ctx, part, x.sharedParts()...)
 	var refusal *refuser.Refusal
 	if errors.As(err, &refusal) {
 		return refusal
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"slices"
+	"strings"
 	"time"
 
 	"laburnumline/recorder"
@@ -16,6 +18,9 @@
 	// test a part that crashed MaxCrashes upstreams. It doubles with each further crash, up
 	// to SuspicionPeriod.
 	minRetestDelay = 10 * time.Second
+	// maxCoincidences is the number of crashes of a part that may have another cause than the others: the upstream
+	// crashed for a reason of its own. With one more, a part is no longer tested at once.
+	maxCoincidences = 1
 	// sameCrash is the time within which several reports of an upstream's crash are one crash.
 	// Upstreams need longer to restart.
 	sameCrash = time.Second
@@ -47,7 +52,7 @@
 
 // partVerdict returns Quarantined for a part that crashed MaxCrashes upstreams without any
 // output in between. After retestDelay without a crash, one request at a time may be executed
-// with a permit.
+// with a permit; see verdictIn for requests that need not wait.
 func (q *Quarantiner) partVerdict(now time.Time, r *Record) Verdict {
 	if len(r.CrashedUpstreams) < q.config.MaxCrashes || !r.Confirmed && !q.refutationEnded(now, r.Digest) {
 		return Clear
@@ -77,12 +82,53 @@
 	return min(delay, q.config.SuspicionPeriod)
 }
 
+// verdictIn returns the verdict on a part for a request with some parts. A quarantined part may be tested at once, with a
+// permit, by a request that distinguishes it from another part. The lock is held.
+func (q *Quarantiner) verdictIn(now time.Time, r *Record, parts []Digest) Verdict {
+	verdict := q.verdict(now, r)
+	if verdict == Quarantined && r.Part && q.distinguishes(r, parts) {
+		return Suspect
+	}
+	return verdict
+}
+
+// verdictOn is verdictIn without the lock.
+func (q *Quarantiner) verdictOn(now time.Time, r *Record, parts []Digest) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.verdictIn(now, r, parts)
+}
+
+// distinguishes reports whether a request with some parts lacks one that may have caused the crashes of a part in its
+// place. If the request is served, the other one has caused them; if it crashes its upstream, the other one explains one crash less.
+func (q *Quarantiner) distinguishes(r *Record, parts []Digest) bool {
+	for d, other := range q.records {
+		if other.Part && d != r.Digest && !slices.Contains(parts, d) && len(other.CrashedUpstreams) >= q.config.MaxCrashes &&
+			unexplainedCrashes(r, &other) <= maxCoincidences {
+			return true
+		}
+	}
+	return false
+}
+
+// unexplainedCrashes returns the number of crashes of a part that are not attributed to another one as well.
+func unexplainedCrashes(r, other *Record) int {
+	n := 0
+	for i, upstream := range r.CrashedUpstreams {
+		before := count(r.CrashedUpstreams[:i], upstream)
+		if !strings.HasPrefix(upstream, permitPrefix) && before >= count(other.CrashedUpstreams, upstream) {
+			n++
+		}
+	}
+	return n
+}
+
 // CheckParts returns the strictest verdict on the parts of a request, and the digest that it is
 // about.
 func (q *Quarantiner) CheckParts(now time.Time, parts []Digest) (Digest, Verdict) {
 	worst, verdict := Digest{}, Clear
 	for _, d := range parts {
-		if v := q.checkPart(now, d); v > verdict {
+		if v := q.checkPart(now, d, parts); v > verdict {
 			worst, verdict = d, v
 		}
 	}
@@ -96,7 +142,7 @@
 	worst, verdict := Digest{}, Clear
 	for _, d := range parts {
 		if r, ok := q.records[d]; ok {
-			if v := q.verdict(now, &r); v > verdict {
+			if v := q.verdictIn(now, &r, parts); v > verdict {
 				worst, verdict = d, v
 			}
 		}
@@ -104,15 +150,15 @@
 	return worst, verdict
 }
 
-// checkPart returns the verdict on a part. The daemon that quarantines a part first announces it.
-func (q *Quarantiner) checkPart(now time.Time, d Digest) Verdict {
+// checkPart returns the verdict on a part of a request. The daemon that quarantines a part first announces it.
+func (q *Quarantiner) checkPart(now time.Time, d Digest, parts []Digest) Verdict {
 	q.mu.Lock()
 	record, ok := q.records[d]
 	if !ok {
 		q.mu.Unlock()
 		return Clear
 	}
-	verdict := q.verdict(now, &record)
+	verdict := q.verdictIn(now, &record, parts)
 	first := verdict != Clear && !record.Confirmed
 	if first {
 		record.Confirmed = true
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -27,7 +27,9 @@
 // Requests that are all different may share a prompt part that crashes upstreams. A part has
 // a record as a request has, with other rules, because sound requests share most parts: a
 // crash is attributed to the parts of all requests that had produced no output there, and any
-// output refutes all crashes that were attributed to the parts of its request. See part.go.
+// output refutes all crashes that were attributed to the parts of its request. Parts that are always together
+// when upstreams crash are quarantined together, although only one of them is the cause. A request that holds
+// some of them but not all tells them apart, so it gets a permit at once. See part.go.
 //
 // Quarantiner is the state of one daemon and does no I/O. Registry accesses the store, and
 // Broadcaster sends crashes to the other daemons.
--- a/quarantiner/registry.go
+++ b/quarantiner/registry.go
@@ -78,11 +78,12 @@
 	revision contractor.Revision
 }
 
-// Permit requests a permit to execute a suspect. It charges a crash in advance, which End
-// removes. Errors are *refuser.Refusal with Execution equal to NotExecuted.
-func (r *Registry) Permit(ctx context.Context, d Digest) (*Permit, error) {
+// Permit requests a permit to execute a suspect: a request, or a part of a request with some parts. It charges a crash in
+// advance, which End removes. The permit is nil if the store shows that the part has been cleared. Errors are
+// *refuser.Refusal with Execution equal to NotExecuted.
+func (r *Registry) Permit(ctx context.Context, d Digest, parts ...Digest) (*Permit, error) {
 	for range maxCommitAttempts {
-		permit, err := r.permit(ctx, d)
+		permit, err := r.permit(ctx, d, parts)
 		if !errors.Is(err, persister.ErrConflict) {
 			return permit, err
 		}
@@ -90,7 +91,7 @@
 	return nil, busyRefusal(d)
 }
 
-func (r *Registry) permit(ctx context.Context, d Digest) (*Permit, error) {
+func (r *Registry) permit(ctx context.Context, d Digest, parts []Digest) (*Permit, error) {
 	stored, revision, err := r.read(ctx, d)
 	if err != nil {
 		return nil, unavailableRefusal(err)
@@ -102,7 +103,11 @@
 	if record.PermitHolder != "" && now.Unix()-record.PermitGranted <= int64(r.permitTimeout().Seconds()) {
 		return nil, busyRefusal(d)
 	}
-	if r.Local.verdict(now, &record) == Quarantined {
+	if record.Part && len(record.CrashedUpstreams) == 0 {
+		r.Local.Merge(now, []Record{record})
+		return nil, nil
+	}
+	if r.Local.verdictOn(now, &record, parts) == Quarantined {
 		return nil, r.storeQuarantine(ctx, record, stored, revision)
 	}
 	p := &Permit{Exclusive: len(record.CrashedUpstreams) > 1, registry: r}
