registrar: an entry that takes effect after a newer one is ignored

Cause: the last 'ready' entry of an upstream takes effect after its 'draining' one and counts as the newest, although its number (seq) is lower; and MarkLeaving does not keep the statement in a response if the entry already drains, so the entry revokes what only a new start may.

Change: entries are compared by start and number; an older one does not replace a newer one.

Before: seven cases of TestLateEntryDoesNotUndoANewerOne fail, and TestLateEntryDoesNotRenewTheWarmup.

--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -54,6 +54,8 @@
 	// ServiceReachability is logged when this daemon reaches no upstream of a service any more, or
 	// one again.
 	ServiceReachability Code = 2305
+	// EntryOutdated is logged when an entry of an upstream is older than the known one.
+	EntryOutdated Code = 2306
 	// RequestRefused is logged when a request gets a refusal instead of an upstream's response.
 	RequestRefused Code = 2401
 	// AttemptFailed is logged when one attempt at an upstream has failed.
@@ -116,6 +118,7 @@
 	UpstreamGone:        "upstream_gone",
 	EntrySkipped:        "entry_skipped",
 	UpstreamLeaving:     "upstream_leaving",
+	EntryOutdated:       "entry_outdated",
 	ServiceReachability: "service_reachability",
 	ServiceBrittle:      "service_brittle",
 	UpstreamSpeed:       "upstream_speed",
--- a/registrar/leaving_test.go
+++ b/registrar/leaving_test.go
@@ -1,20 +1,28 @@
 package registrar
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumline/contractor"
 	"laburnumline/persister"
+	"laburnumline/resolver"
+	"laburnumline/throttler"
 )
 
 // leavingEntry is the value of an entry in these tests.
 type leavingEntry struct {
 	Start    int64
 	Draining bool
+	Sequence int64
+	// Service is "drafts" if it is empty.
+	Service string
 }
 
 // leavingList is a list of upstreams with one entry that a store may lose and bring back.
@@ -28,7 +36,10 @@
 	decode := func(key string, value []byte) (Upstream, error) {
 		var e leavingEntry
 		err := json.Unmarshal(value, &e)
-		return Upstream{Name: Name(key), Service: "drafts", Address: netip.MustParseAddrPort("10.0.0.1:80"), Draining: e.Draining, StartedAtMs: e.Start}, err
+		return Upstream{
+			Name: Name(key), Service: resolver.ServiceName(cmp.Or(e.Service, "drafts")), Address: netip.MustParseAddrPort("10.0.0.1:80"),
+			Draining: e.Draining, StartedAtMs: e.Start, Sequence: e.Sequence,
+		}, err
 	}
 	return leavingList{clock: c, Registrar: New(Config{
 		Decode: decode, Now: func() time.Time { return c.now }, LastFailure: func() time.Time { return c.lastFailure },
@@ -137,3 +148,122 @@
 	l.Expire()
 	require.Len(t, l.Of("drafts"), 1)
 }
+
+// A write of an upstream whose answer was lost may take effect seconds later, after newer writes. It must not undo what these
+// said, nor what the upstream stated in a response: the upstream would get requests although it leaves.
+func TestLateEntryDoesNotUndoANewerOne(t *testing.T) {
+	const start, earlier = 900_000, 800_000
+	put := func(t *testing.T, l leavingList, e leavingEntry) {
+		l.Apply(persister.Change{Entry: leavingEntryOf(t, e)})
+	}
+	ready := func(sequence int64) leavingEntry { return leavingEntry{Start: start, Sequence: sequence} }
+	draining := func(sequence int64) leavingEntry {
+		return leavingEntry{Start: start, Sequence: sequence, Draining: true}
+	}
+	remove := func(l leavingList) { l.Apply(persister.Change{Entry: persister.Entry{Key: "a"}, Deleted: true}) }
+	wait := func(l leavingList, d time.Duration) {
+		l.clock.now = l.clock.now.Add(d)
+		l.Expire()
+	}
+	tests := []struct {
+		name   string
+		change func(t *testing.T, l leavingList, u *Upstream)
+		listed bool
+	}{
+		{"ready after draining", func(t *testing.T, l leavingList, _ *Upstream) { put(t, l, draining(7)); put(t, l, ready(6)) }, false},
+		{"ready again after draining", func(t *testing.T, l leavingList, _ *Upstream) { put(t, l, draining(7)); put(t, l, ready(8)) }, true},
+		{"draining, stated, then ready", func(t *testing.T, l leavingList, u *Upstream) {
+			put(t, l, draining(7))
+			l.MarkLeaving(u)
+			put(t, l, ready(8))
+		}, false},
+		{"draining, stated, then ready without a sequence number", func(t *testing.T, l leavingList, u *Upstream) {
+			put(t, l, leavingEntry{Start: start, Draining: true})
+			l.MarkLeaving(u)
+			put(t, l, leavingEntry{Start: start})
+		}, false},
+		{"draining, a damaged entry, then ready", func(t *testing.T, l leavingList, _ *Upstream) {
+			put(t, l, draining(7))
+			l.Apply(persister.Change{Entry: persister.Entry{Key: "a", Value: []byte("{")}})
+			put(t, l, ready(6))
+		}, false},
+		{"draining, then ready in a list that is behind", func(t *testing.T, l leavingList, _ *Upstream) {
+			put(t, l, draining(7))
+			l.Reset([]persister.Entry{leavingEntryOf(t, ready(6)), otherEntry(t)})
+		}, false},
+		{"draining, removed, then ready", func(t *testing.T, l leavingList, _ *Upstream) {
+			put(t, l, draining(7))
+			remove(l)
+			put(t, l, ready(6))
+			wait(l, failureWindow)
+		}, false},
+		{"removed, then ready", func(t *testing.T, l leavingList, _ *Upstream) {
+			remove(l)
+			put(t, l, ready(6))
+			wait(l, failureWindow-time.Millisecond)
+		}, false},
+		{"removed, then ready twice", func(t *testing.T, l leavingList, _ *Upstream) {
+			remove(l)
+			put(t, l, ready(6))
+			put(t, l, ready(7))
+		}, true},
+		{"removed, then ready and still there", func(t *testing.T, l leavingList, _ *Upstream) {
+			remove(l)
+			put(t, l, ready(6))
+			wait(l, failureWindow)
+		}, true},
+		{"removed, ready long after that", func(t *testing.T, l leavingList, _ *Upstream) {
+			remove(l)
+			wait(l, maxWriteDelay+time.Millisecond)
+			put(t, l, ready(6))
+		}, true},
+		{"removed, ready, and the only upstream", func(t *testing.T, l leavingList, _ *Upstream) {
+			l.Apply(persister.Change{Entry: persister.Entry{Key: "b"}, Deleted: true})
+			remove(l)
+			put(t, l, ready(6))
+		}, true},
+		{"draining of an earlier start", func(t *testing.T, l leavingList, _ *Upstream) {
+			put(t, l, leavingEntry{Start: earlier, Sequence: 90, Draining: true})
+		}, true},
+		{"an earlier start that goes on, after a step of its clock", func(t *testing.T, l leavingList, _ *Upstream) {
+			put(t, l, leavingEntry{Start: earlier, Sequence: 1, Draining: true})
+			put(t, l, leavingEntry{Start: earlier, Sequence: 2, Draining: true})
+		}, false},
+		{"another writer's entry with a high number", func(t *testing.T, l leavingList, _ *Upstream) {
+			put(t, l, leavingEntry{Start: start, Sequence: 1000, Service: "other"})
+			put(t, l, ready(6))
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newLeavingList()
+			l.Reset([]persister.Entry{leavingEntryOf(t, ready(5)), otherEntry(t)})
+			listed := func() bool {
+				return slices.ContainsFunc(l.Of("drafts"), func(u Upstream) bool { return u.Name == "a" })
+			}
+			require.True(t, listed())
+			tt.change(t, l, &l.Of("drafts")[0])
+			require.Equal(t, tt.listed, listed())
+		})
+	}
+}
+
+// otherEntry is the entry of another upstream of the service.
+func otherEntry(t *testing.T) persister.Entry {
+	e := leavingEntryOf(t, leavingEntry{Start: 1, Sequence: 1})
+	e.Key = "b"
+	return e
+}
+
+// A late entry must not state an earlier warm-up again.
+func TestLateEntryDoesNotRenewTheWarmup(t *testing.T) {
+	var renewed []int64
+	l := newLeavingList()
+	l.Registrar.config.Renewed = func(u *Upstream, _ throttler.WarmupStatement) { renewed = append(renewed, u.Sequence) }
+	for i, sequence := range []int64{1, 3, 2, 4} {
+		e := leavingEntryOf(t, leavingEntry{Start: 1, Sequence: sequence})
+		e.Revision = contractor.Revision(i + 1)
+		l.Apply(persister.Change{Entry: e})
+	}
+	require.Equal(t, []int64{1, 3, 4}, renewed)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -50,6 +50,8 @@
 	// StartedAtMs is the upstream's start in Unix milliseconds, or zero. It changes
 	// when the upstream restarts under the same name.
 	StartedAtMs int64
+	// Sequence increases with each entry that the upstream writes after its start. Zero means unknown.
+	Sequence int64
 }
 
 // LimitID returns the ID under which the request limit of the upstream is kept.
@@ -100,6 +102,8 @@
 	entries map[string]*entry // by key
 	leaving map[Name]departure
 	removed map[Name]removal // while the store was available
+	// latest has the latest entry that was seen under each key.
+	latest map[string]statement
 
 	available  atomic.Pointer[map[resolver.ServiceName][]Upstream]
 	evacuated  atomic.Pointer[map[resolver.ServiceName][]Upstream]
@@ -135,7 +139,7 @@
 	if c.ListAge == nil {
 		c.ListAge = func() time.Duration { return 0 }
 	}
-	r := &Registrar{config: c, entries: make(map[string]*entry), leaving: make(map[Name]departure), removed: make(map[Name]removal), createdAt: c.Now()}
+	r := &Registrar{config: c, entries: make(map[string]*entry), leaving: make(map[Name]departure), removed: make(map[Name]removal), latest: make(map[string]statement), createdAt: c.Now()}
 	r.software.Store(&softwareView{})
 	r.publish()
 	return r
@@ -222,8 +226,9 @@
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		seen[e.Key] = true
+		known := r.entries[e.Key]
 		r.put(e)
-		if restored := r.entries[e.Key]; restored.valid {
+		if restored := r.entries[e.Key]; restored.valid && restored != known {
 			r.hide(&restored.upstream)
 		}
 	}
@@ -242,9 +247,11 @@
 	if c.Deleted {
 		r.markMissing(c.Entry.Key)
 	} else {
-		r.put(c.Entry)
-		if written := r.entries[c.Entry.Key]; written.valid {
+		renewed := r.put(c.Entry)
+		if written := r.entries[c.Entry.Key]; renewed {
 			r.recordRenewal(&written.upstream)
+		} else if written.valid && r.removed[written.upstream.Name].hiddenUntil.IsZero() {
+			r.hide(&written.upstream)
 		}
 	}
 	r.publish()
@@ -269,8 +276,9 @@
 	}
 }
 
-// put adds or replaces an entry. The lock is held.
-func (r *Registrar) put(e persister.Entry) {
+// put adds or replaces an entry, unless it is valid and older than the known one. It reports whether the entry is the latest of its
+// upstream. The lock is held.
+func (r *Registrar) put(e persister.Entry) (latest bool) {
 	upstream, err := r.config.Decode(e.Key, e.Value)
 	warmup := throttler.WarmupStatement{Stated: true, Left: upstream.Warmup}
 	if errors.Is(err, ErrWarmup) {
@@ -281,9 +289,15 @@
 		r.config.Recorder.Event(recorder.EntrySkipped, "key", e.Key, "revision", e.Revision, "err", err)
 		// The key stays in the list without an upstream. Its earlier value no longer applies.
 		r.entries[e.Key] = &entry{}
-		return
+		return false
 	}
 	old := r.entries[e.Key]
+	older := r.isOlder(e.Key, &upstream)
+	if older && old != nil && old.valid {
+		r.config.Recorder.Event(recorder.EntryOutdated, "upstream", upstream.Name, "revision", e.Revision,
+			"sequence", upstream.Sequence, "started", upstream.StartedAtMs, "latest", r.latest[e.Key].sequence, "draining", upstream.Draining)
+		return false
+	}
 	if old == nil || !old.valid || old.upstream.Draining != upstream.Draining {
 		r.config.Recorder.Event(recorder.UpstreamListed, "upstream", upstream.Name, "service", upstream.Service,
 			"address", upstream.Address, "software", upstream.Software, "draining", upstream.Draining, "revision", e.Revision)
@@ -295,6 +309,7 @@
 	if upstream.Draining {
 		r.recordDeparture(&upstream, false)
 	}
+	return !older
 }
 
 // markMissing handles an entry that is no longer in the store: it drops the entry, or
