archivist: the store has the software versions of streams, for the loss of all daemons

Cause: the version at which a stream began was known to four daemons and nobody else. Ruled out: the history of versions (complete), the retry budget, readiness.

Change: a daemon records the version of the upstream to which it sends the request of a resumable stream. The rounds of balances write these records, at no call of their own, and early while several versions serve. A daemon that finds the version nowhere else reads them. A record that another send would make wrong is void in the store before that send; one of a stream that has not begun counts only if read after the caller asked, and if the store was not restored since. What has no record is what is still resumed when daemons are in touch.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -227,7 +227,11 @@
 	// RequestTransfer requests tokens from other daemons and credits those received. Nil
 	// means that there are no transfers.
 	RequestTransfer func(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens
-	Recorder        *recorder.Recorder
+	// Attach returns what the next round writes besides balances. relayed is true in a fleet with a relay, which combines the
+	// entries of several rounds in one call, so that each entry may cost a part of one. Attach must not call the
+	// Apportioner. Nil means nothing.
+	Attach   func(relayed bool) Attachment
+	Recorder *recorder.Recorder
 	// BootClock reads the clock since boot, which all incarnations on this VM share. New
 	// reads it first, and the earlier incarnation must have ended by then. Nil means that
 	// there is none.
@@ -239,6 +243,15 @@
 // defaultAllocatedFraction is the fraction of a balance that is allocated to daemons.
 const defaultAllocatedFraction = 0.9
 
+// Attachment is what a round writes besides balances, so that no call to the store is made for it. Keys must not be
+// those of an Apportioner.
+type Attachment struct {
+	Puts    []persister.Put
+	Deletes []string
+	// Written is called once the transaction has taken effect. Nil means that nobody needs to know.
+	Written func()
+}
+
 // Apportioner holds the shares of one daemon. It is safe for concurrent use.
 type Apportioner struct {
 	config Config
@@ -428,6 +441,9 @@
 	return stages[stage].leaseTTL + (extension + leaseTTLStep - 1).Truncate(leaseTTLStep)
 }
 
+// HastenRound triggers a round soon, for what is attached to it.
+func (a *Apportioner) HastenRound() { signal(a.roundSoon) }
+
 // requestRound triggers a round at once.
 func (a *Apportioner) requestRound() { signal(a.roundNow) }
 
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -19,6 +19,7 @@
 	row        row
 	joined     bool
 	lostTokens contractor.Tokens
+	attached   Attachment
 	txn        persister.Txn
 }
 
@@ -53,6 +54,10 @@
 	if err := p.encode(a.config.Name, state); err != nil {
 		return nil, err
 	}
+	if a.config.Attach != nil {
+		p.attached = a.config.Attach(a.hasRelay())
+		p.txn.Puts, p.txn.Deletes = append(p.txn.Puts, p.attached.Puts...), p.attached.Deletes
+	}
 	for name, h := range p.row.Accounts {
 		a.account(name).lowerTo(h)
 	}
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -289,6 +289,9 @@
 	if err != nil {
 		return err
 	}
+	if p.attached.Written != nil {
+		p.attached.Written()
+	}
 	state.row, state.rowRevision = p.row, revision
 	state.current = persister.EraOf(revision) <= state.storeEra
 	if p.rebalances {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -75,7 +75,7 @@
 			return x.contextRefusal(ctx, choice)
 		}
 		refusal := refuser.New(failed.reason, "forward").WithPeer(string(choice.Upstream.Name)).WithCause(failed.err)
-		if !x.attemptsRemain(failed) {
+		if !x.attemptsRemain(failed) || errors.Is(failed.err, errNotAssigned) {
 			return x.finalRefusal(refusal.WithRetryAfter(x.retryAfter(failed)))
 		}
 		decision := f.Retries.Decide(time.Now(), x.accountName(), target, attempt, x.deadline, failed.Failure)
@@ -197,7 +197,9 @@
 // forwarded to the caller.
 func (x *exchange) attempt(ctx context.Context, choice balancer.Choice) *failure {
 	r := reply{sentAt: time.Now()}
-	r.response, r.err = x.forwarder.config.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
+	if r.err = x.assignSoftware(ctx, &choice.Upstream); r.err == nil {
+		r.response, r.err = x.forwarder.config.Sender.Send(ctx, choice.Upstream.Address, x.upstreamCall(choice))
+	}
 	r.receivedAt = time.Now()
 	return x.conclude(ctx, &choice, r)
 }
@@ -304,6 +306,10 @@
 func (x *exchange) sendFailure(err error) *failure {
 	failed := &failure{err: err, reason: refuser.UpstreamFailed, outcome: balancer.Failed}
 	failed.Repeatable, failed.Resumable = x.route.AllowsReexecution(), x.route.Resumable
+	if errors.Is(err, errNotAssigned) {
+		failed.Phase, failed.reason, failed.outcome = retrier.NotSent, refuser.NoUpstream, balancer.Abandoned
+		return failed
+	}
 	failed.UpstreamDown = true
 	var sendErr *connector.CallError
 	if errors.As(err, &sendErr) && !sendErr.Written {
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -43,7 +43,7 @@
 	// The other daemon reserves the tokens.
 	x.reservation.Release()
 	x.reservation = nil
-	if x.request.Delegated && x.executions == x.request.Executions {
+	if x.request.Delegated && x.executions == x.request.Executions && x.withdrawAssignment(ctx) == nil {
 		x.forwarder.config.Recorder.Count("delegator.declined", 1)
 		delegator.Decline(x.writer)
 		return true
@@ -70,6 +70,9 @@
 	if x.sends > 0 {
 		x.useRetry("delegation")
 	}
+	if err := x.withdrawAssignment(ctx); err != nil {
+		return x.finalRefusal(noUpstream().WithCause(err))
+	}
 	response, err := f.Delegate.Send(ctx, x.delegatedRequest())
 	if errors.Is(err, delegator.ErrInterrupted) {
 		x.executions++
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -65,6 +65,11 @@
 	softwareKnown bool
 	// pinned is true once the version is recorded for other attempts of the caller.
 	pinned bool
+	// assigned is the version of the upstream to which the request for a stream was last sent, if isAssigned is true.
+	assigned   string
+	isAssigned bool
+	// unassignable is true if upstreams of two versions may begin the stream, so that it is assigned to neither.
+	unassignable bool
 	// declined is true once no other daemon has taken the request.
 	declined bool
 	// upstream is that of the current attempt, and attemptEvents counts the events from it.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -108,6 +108,8 @@
 
 // Streams records the software versions that began event streams, for all daemons.
 type Streams interface {
+	Assign(ctx context.Context, s pinner.Stream, software string) error
+	Withdraw(ctx context.Context, s pinner.Stream, several bool) error
 	Pin(s pinner.Stream, software string, several bool)
 	Lookup(ctx context.Context, s pinner.Stream, several bool) (software string, ok bool)
 }
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -106,8 +106,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &hedgedSend{reply: reply{sentAt: time.Now()}, choice: choice, cancel: cancel, second: second}
 	call, sender := x.upstreamCall(choice), x.forwarder.config.Sender
+	s.err = x.assignSoftware(ctx, &choice.Upstream)
 	go func() {
-		s.response, s.err = sender.Send(ctx, choice.Upstream.Address, call)
+		if s.err == nil {
+			s.response, s.err = sender.Send(ctx, choice.Upstream.Address, call)
+		}
 		s.receivedAt = time.Now()
 		if s.err == nil {
 			s.valid = readAhead(s.response)
@@ -147,6 +150,12 @@
 	}
 	q := x.query()
 	q.Second, q.Exclude = true, append(slices.Clone(x.tried), first.Upstream.Name)
+	if x.isAssigned && len(q.Candidates) == 1 { // the first upstream is the only one of its version
+		others := x.recordedCandidates(x.permitted(f.Upstreams.Of(x.service.Name)))
+		if len(others) > 1 && x.sendToSeveralVersions() {
+			q.Candidates = others
+		}
+	}
 	choice, ok := f.Balancer.Choose(now, q)
 	if !ok {
 		f.Retries.ReturnSecondSend(now, x.accountName(), target)
--- a/forwarder/software.go
+++ b/forwarder/software.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -90,25 +92,102 @@
 	if !x.softwareKnown {
 		x.software, x.softwareKnown = x.upstream.Software, true
 	}
-	first := x.request.ID
-	if x.request.ResumeAfter != "" {
-		if first = x.request.Resumes; first == "" {
-			return
-		}
+	first := x.firstAttempt()
+	if first == "" {
+		return
 	}
 	_, several := x.softwareVersions()
 	x.forwarder.config.Streams.Pin(pinner.StreamOf(first), x.software, several)
 }
 
+// firstAttempt returns the caller's attempt that received the first event of the stream, or may receive it. It is empty if the
+// caller does not name it.
+func (x *exchange) firstAttempt() string {
+	if x.request.ResumeAfter != "" {
+		return x.request.Resumes
+	}
+	return x.request.ID
+}
+
+// errNotAssigned means that a request was not sent to an upstream of another software version, because that could
+// not be recorded.
+var errNotAssigned = errors.New("the software version of the stream cannot be recorded")
+
+// assignSoftware records the software version of the upstream to which the request for a stream is sent next. An error
+// means that it must not be sent.
+func (x *exchange) assignSoftware(ctx context.Context, u *registrar.Upstream) error {
+	if !x.isResumable() || x.unassignable || x.isAssigned && x.assigned == u.Software {
+		return nil
+	}
+	if err := x.forwarder.config.Streams.Assign(ctx, pinner.StreamOf(x.firstAttempt()), u.Software); err != nil {
+		return fmt.Errorf("%w: %w", errNotAssigned, err)
+	}
+	x.assigned, x.isAssigned = u.Software, true
+	return nil
+}
+
+// withdrawAssignment records that another daemon sends the request, perhaps to another software version. An error means
+// that it must not.
+func (x *exchange) withdrawAssignment(ctx context.Context) error {
+	if !x.isAssigned {
+		return nil
+	}
+	x.isAssigned = false
+	_, several := x.softwareVersions()
+	return x.forwarder.config.Streams.Withdraw(ctx, pinner.StreamOf(x.firstAttempt()), several)
+}
+
+// sendToSeveralVersions prepares for a second send of the request to an upstream of another version than the first. It
+// reports false if that cannot be recorded at once.
+func (x *exchange) sendToSeveralVersions() bool {
+	if !x.isAssigned {
+		return true
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // the first send is in flight, so nothing is awaited
+	if err := x.forwarder.config.Streams.Withdraw(ctx, pinner.StreamOf(x.firstAttempt()), true); err != nil {
+		return false
+	}
+	x.isAssigned, x.unassignable = false, true
+	return true
+}
+
+// isResumable reports whether the caller may resume the stream that the request begins or continues.
+func (x *exchange) isResumable() bool {
+	return x.route.Repeatability == resolver.Stream && x.route.Resumable && x.firstAttempt() != ""
+}
+
+// ofAssignedSoftware returns those of some upstreams that have the version to which the request was sent before.
+func (x *exchange) ofAssignedSoftware(all []registrar.Upstream) []registrar.Upstream {
+	var same []registrar.Upstream
+	for _, u := range all {
+		if u.Software == x.assigned {
+			same = append(same, u)
+		}
+	}
+	return same
+}
+
 // candidates returns the upstreams that may run the request: those of its service, for a stream that
-// has begun those of its software version, for a new one those whose version is stored, unless all of
+// has begun those of its software version, for one that was sent before those of the same version and for a new one those
+// whose version is stored, unless all of
 // these have failed it, and for a request with homes those in its regions.
 func (x *exchange) candidates() []registrar.Upstream {
 	permitted := x.permitted(x.forwarder.config.Upstreams.Of(x.service.Name))
-	if !x.softwareKnown && x.route.Repeatability == resolver.Stream {
-		return x.recordedCandidates(permitted)
+	if x.softwareKnown || x.route.Repeatability != resolver.Stream {
+		return permitted
 	}
-	return permitted
+	if x.isAssigned {
+		if same := x.ofAssignedSoftware(permitted); x.anyUntried(same) {
+			return same
+		}
+	}
+	return x.recordedCandidates(permitted)
+}
+
+// anyUntried reports whether an upstream has not failed the request yet.
+func (x *exchange) anyUntried(list []registrar.Upstream) bool {
+	return slices.ContainsFunc(list, func(u registrar.Upstream) bool { return !slices.Contains(x.tried, u.Name) })
 }
 
 func (x *exchange) recordedCandidates(all []registrar.Upstream) []registrar.Upstream {
@@ -116,7 +195,7 @@
 	if len(recorded) == len(all) {
 		return all
 	}
-	if !slices.ContainsFunc(recorded, func(u registrar.Upstream) bool { return !slices.Contains(x.tried, u.Name) }) {
+	if !x.anyUntried(recorded) {
 		x.forwarder.config.Recorder.Count("forwarder.software_unrecorded", 1)
 		return all
 	}
--- a/forwarder/version_test.go
+++ b/forwarder/version_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumline/archivist"
 	"laburnumline/balancer"
 	"laburnumline/connector"
 	"laburnumline/contractor"
@@ -46,6 +47,8 @@
 	listInterval = 200 * time.Millisecond
 	// keepInterval is the time between two checks whether the software history has to be stored.
 	keepInterval = 500 * time.Millisecond
+	// roundInterval is the time between two rounds of balances while several versions serve. They write records of streams.
+	roundInterval = 400 * time.Millisecond
 	// callerTries is how often a caller sends a request, or resumes its stream.
 	callerTries = 4
 )
@@ -64,6 +67,8 @@
 	callersOnly bool
 	// idle is the time before the first request, callerDelay that from the end of an attempt to the next one. Zero means 150 ms.
 	idle, callerDelay time.Duration
+	// eventInterval is the time between two events of a stream. Zero means 20 ms.
+	eventInterval time.Duration
 	// lost is the fraction of the messages between daemons that is lost, messageDelay the delay
 	// of the others.
 	lost         float64
@@ -136,6 +141,13 @@
 	return s.Store.Commit(ctx, txn)
 }
 
+func (s *daemonStore) Range(ctx context.Context, prefix, after string, limit int) (persister.Page, error) {
+	if err := s.err(); err != nil {
+		return persister.Page{}, err
+	}
+	return s.Store.Range(ctx, prefix, after, limit)
+}
+
 // versionStep happens at a time after the start.
 type versionStep struct {
 	at time.Duration
@@ -227,11 +239,16 @@
 		},
 	})
 	store := &daemonStore{Store: f.store, fleet: f, index: i}
+	archive := archivist.New(archivist.Config{
+		Store: store, Name: fmt.Sprint("vm-", i), Incarnation: fmt.Sprint(time.Since(f.start).Milliseconds()), Members: func() int { return len(f.members) }, Era: f.store.Era,
+	})
 	d.pinner = pinner.New(pinner.Config{
-		Self: f.members[i], Peers: func() []netip.AddrPort { return f.others[i] },
+		Archive: archive,
+		Self:    f.members[i], Peers: func() []netip.AddrPort { return f.others[i] },
 		Send: func(to netip.AddrPort, datagram []byte) { f.deliver(d, f.members[i], to, datagram) },
 	})
 	go d.pinner.Run(d.ended)
+	go runRounds(d.ended, store, archive, time.Duration(f.random.Int64N(int64(roundInterval))))
 	f.daemons[i] = d
 	d.forwarder = New(Config{
 		Tables: f, Upstreams: d.registrar, Streams: d.pinner, Budgets: f, Balancer: balancer.New(balancer.Config{}), Limits: throttler.New(throttler.Config{}),
@@ -244,6 +261,18 @@
 	f.update(i, d, f.entries())
 }
 
+// runRounds writes records of streams as the rounds of balances do.
+func runRounds(ctx context.Context, store *daemonStore, archive *archivist.Archivist, phase time.Duration) {
+	for sleeper.Sleep(ctx, roundInterval-phase) == nil {
+		phase = 0
+		batch := archive.Pending()
+		_, err := store.Commit(ctx, persister.Txn{Puts: batch.Puts, Deletes: batch.Deletes})
+		if err == nil && ctx.Err() == nil {
+			batch.Written()
+		}
+	}
+}
+
 // clockOf returns the clock of a daemon, without a monotonic reading: another daemon compares its times.
 func (f *versionFleet) clockOf(i int) time.Time {
 	now := time.Now()
@@ -371,7 +400,7 @@
 	last, _ := strconv.Atoi(call.Header.Get("Last"))
 	return &connector.Response{
 		Status: 200, Header: eventStreamHeader, Length: -1, Framing: framer.Chunked, Metadata: connector.Metadata{ID: call.ID, Signed: true},
-		Body: &versionBody{ctx: ctx, crashed: crashed, software: software, last: last},
+		Body: &versionBody{ctx: ctx, crashed: crashed, software: software, last: last, interval: cmp.Or(f.scenario.eventInterval, eventInterval)},
 	}, nil
 }
 
@@ -381,6 +410,7 @@
 	crashed  chan struct{}
 	software string
 	last     int
+	interval time.Duration
 }
 
 func (b *versionBody) Read(p []byte) (int, error) {
@@ -388,7 +418,7 @@
 		return 0, io.EOF
 	}
 	select {
-	case <-time.After(eventInterval):
+	case <-time.After(b.interval):
 		b.last++
 		return copy(p, fmt.Sprintf("id: %d\ndata: %s\n\n", b.last, b.software)), nil
 	case <-b.crashed:
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -33,6 +33,7 @@
 	"laburnumline/admitter"
 	"laburnumline/announcer"
 	"laburnumline/apportioner"
+	"laburnumline/archivist"
 	"laburnumline/balancer"
 	"laburnumline/combiner"
 	"laburnumline/connector"
@@ -173,6 +174,7 @@
 	balancer                *balancer.Balancer
 	throttler               *throttler.Throttler
 	pinner                  *pinner.Pinner
+	archivist               *archivist.Archivist
 	streamConn              atomic.Pointer[net.UDPConn]
 	softwareLoaded          chan struct{} // closed when the software history is loaded
 	pool                    *connector.Pool
@@ -190,6 +192,8 @@
 	// severalVersions has the services with several software versions at the last call of
 	// replicateStreams.
 	severalVersions map[resolver.ServiceName]bool
+	// anySeveral is true if there is such a service.
+	anySeveral atomic.Bool
 
 	// cleanedGeneration is the generation of the list of upstreams at the last call of
 	// dropRemovedUpstreams.
@@ -231,11 +235,12 @@
 		Direct: c.Adapter.Store, Combiner: d.combiner, Self: s.InternalAddress, Dial: dial, Recorder: rec,
 		Relays: func() []netip.AddrPort { return d.shares.Relays() },
 	})
+	d.archivist = archivist.New(archivist.Config{Store: d.store, Name: s.Name, Incarnation: d.incarnationID(), Era: d.store.Era, Members: d.Members, Hasten: d.hastenStreams, Recorder: rec})
 	d.shares = apportioner.New(apportioner.Config{
 		Store: d.store, Name: s.Name, Address: s.InternalAddress, LinkBandwidth: s.LinkBytesPerSecond, Incarnation: d.incarnation, RequestTransfer: d.requestTransfer, Recorder: rec,
-		BootClock: timekeeper.Read,
+		BootClock: timekeeper.Read, Attach: d.attachStreams,
 	})
-	d.pinner = pinner.New(pinner.Config{Self: s.streamAddress(), Peers: d.streamPeers, Send: d.sendStreamMessage, Recorder: rec})
+	d.pinner = pinner.New(pinner.Config{Self: s.streamAddress(), Peers: d.streamPeers, Send: d.sendStreamMessage, Archive: d.archivist, Recorder: rec})
 	d.throttler = throttler.New(throttler.Config{
 		Self: s.InternalAddress, Members: d.knownPeers, MembersCurrent: d.membersCurrent, Warmup: d.warmupOf, SuspectUnreachable: d.suspectUnreachable, Changed: d.hastenNotice, Recorder: rec,
 	})
@@ -265,7 +270,7 @@
 		Publish: d.storeVerdict, StorePart: d.storeQuarantine, Broadcast: d.publishSuspects, Recorder: rec,
 	})
 	d.quarantineRegistry = &quarantiner.Registry{
-		Store: d.store, Local: d.quarantiner, Incarnation: strconv.FormatUint(uint64(d.incarnation), 16), PermitTimeout: permitTimeout,
+		Store: d.store, Local: d.quarantiner, Incarnation: d.incarnationID(), PermitTimeout: permitTimeout,
 		Recorder: rec,
 	}
 	d.monitor = delegator.NewMonitor(delegator.MonitorConfig{
@@ -288,6 +293,9 @@
 	return d
 }
 
+// incarnationID returns the incarnation as text, for keys and values of the store.
+func (d *Daemon) incarnationID() string { return strconv.FormatUint(uint64(d.incarnation), 16) }
+
 const (
 	// maxCrashes is the number of upstreams that a request may crash. The users count
 	// such crashes from the third on.
@@ -381,6 +389,7 @@
 	tasks.Go(func() error { return d.serveTransfers(background) })
 	tasks.Go(func() error { return d.serveStreams(background) })
 	tasks.Go(func() error { d.pinner.Run(background); return nil })
+	tasks.Go(func() error { d.sweepStreams(background); return nil })
 	tasks.Go(func() error { return d.serveRelay(background) })
 	tasks.Go(func() error { d.serveMetrics(background); return nil })
 	tasks.Go(func() error { return d.serveDelegated(background, ctx) })
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -130,13 +130,18 @@
 }
 
 func (f *fixture) addUpstream(name, service string, r *emulator.Runner) {
+	f.t.Helper()
+	f.addUpstreamVersion(name, service, "v1", r)
+}
+
+func (f *fixture) addUpstreamVersion(name, service, software string, r *emulator.Runner) {
 	f.t.Helper()
 	url, err := r.Serve()
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = r.Close() })
 	f.store.PutAsOperator("servers/"+name, fmt.Appendf(nil,
-		`{"backend":%q,"address":%q,"zone":"z","version":"v1","batchSlots":8,"phase":"ready","warmupLeftMs":0,"seq":1}`,
-		service, strings.TrimPrefix(url, "http://")))
+		`{"backend":%q,"address":%q,"zone":"z","version":%q,"batchSlots":8,"phase":"ready","warmupLeftMs":0,"seq":1}`,
+		service, strings.TrimPrefix(url, "http://"), software))
 }
 
 func (f *fixture) isReady() bool {
@@ -149,13 +154,20 @@
 }
 
 // call sends one request and returns its status and body.
-func (f *fixture) call(path, key string) (int, string, error) {
+func (f *fixture) call(path, key string) (int, string, error) { return f.resume(path, key, "", 0) }
+
+// resume is call for a stream that an attempt began, after an event. An empty attempt means a new request.
+func (f *fixture) resume(path, key, attempt string, event int) (int, string, error) {
 	request, err := http.NewRequest("POST", "http://"+f.front.Addr().String()+path, strings.NewReader("body"))
 	require.NoError(f.t, err)
 	request.Host = "a.example"
 	request.Header.Set("Attempt-Id", strconv.FormatInt(f.attempts.Add(1), 16))
 	request.Header.Set("Deadline-Ms", "8000")
 	request.Header.Set("Authorization", "Bearer "+key)
+	if attempt != "" {
+		request.Header.Set("Resumes", attempt)
+		request.Header.Set("Last-Event-Id", strconv.Itoa(event))
+	}
 	if strings.HasPrefix(path, "/drafts/") {
 		request.Header.Set("Model-Id", "m")
 		request.Header.Set("Token-Usage", "100,50")
--- a/launcher/software.go
+++ b/launcher/software.go
@@ -43,6 +43,7 @@
 			era = current
 			store.Forget()
 			d.storeQuarantinesAgain()
+			d.archivist.Rewrite()
 		}
 		var err error
 		switch {
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -10,12 +10,13 @@
 // record goes at once to the replicas of its stream, which rendezvous hashing determines. While
 // it has one, records are collected for replicationInterval and go to the replicas of the daemon. A
 // daemon that does not know a stream asks the replicas of the stream, then, if several versions are possible, all
-// other daemons. Records and questions are single datagrams: a lost record leaves
+// other daemons, and last the Archive, which outlives all of them. Records and questions are single datagrams: a lost record leaves
 // other copies, and a stream that nobody knows must not continue.
 //
 //	p := pinner.New(pinner.Config{Self: address, Peers: peers, Send: send})
 //	go p.Run(ctx)
-//	p.Pin(pinner.StreamOf(attemptID), "v1.2", true)
+//	err := p.Assign(ctx, pinner.StreamOf(attemptID), "v1.2") // before the request is sent
+//	p.Pin(pinner.StreamOf(attemptID), "v1.2", true)          // at the first event
 //	software, ok := p.Lookup(ctx, pinner.StreamOf(attemptID), true) // at another daemon
 package pinner
 
@@ -62,6 +63,14 @@
 	recentAge = 15 * time.Second
 )
 
+// Archive keeps records where the end of daemons does not lose them; see package archivist.
+type Archive interface {
+	Assign(ctx context.Context, s Stream, software string) error
+	Begin(s Stream)
+	Withdraw(ctx context.Context, s Stream, wait bool) error
+	Find(ctx context.Context, s Stream) (software string, ok bool, err error)
+}
+
 // Config holds what a Pinner needs.
 type Config struct {
 	// Self is the address of this daemon, in the form of Peers.
@@ -70,6 +79,8 @@
 	Peers func() []netip.AddrPort
 	// Send sends a datagram. Delivery need not be reliable.
 	Send func(to netip.AddrPort, datagram []byte)
+	// Archive may be nil.
+	Archive Archive
 	// Now returns the current time. Nil means time.Now.
 	Now      func() time.Time
 	Recorder *recorder.Recorder
@@ -120,10 +131,30 @@
 	}
 }
 
-// Pin records the version of a stream. If the service has several versions, another daemon may be asked for it at any
+// Assign announces that the request for a stream is sent to an upstream of a version. After an error it must not be sent.
+func (p *Pinner) Assign(ctx context.Context, s Stream, software string) error {
+	if p.config.Archive == nil {
+		return nil
+	}
+	return p.config.Archive.Assign(ctx, s, software)
+}
+
+// Withdraw announces that the request for a stream is sent to another daemon, which may choose another version. While the service has
+// several, it must not be sent after an error.
+func (p *Pinner) Withdraw(ctx context.Context, s Stream, several bool) error {
+	if p.config.Archive == nil {
+		return nil
+	}
+	return p.config.Archive.Withdraw(ctx, s, several)
+}
+
+// Pin records the version of the first event of a stream. If the service has several versions, another daemon may be asked for it at any
 // moment, so copies are sent at once. Otherwise Run sends them.
 func (p *Pinner) Pin(s Stream, software string, several bool) {
 	p.store(s, record{software: software, begunAt: p.config.Now()})
+	if p.config.Archive != nil {
+		p.config.Archive.Begin(s)
+	}
 	c := copied{Stream: s, Software: software}
 	if !several {
 		p.mu.Lock()
@@ -231,7 +262,7 @@
 }
 
 // Lookup returns the version of a stream, or false if no daemon that answers knows it. In a large
-// fleet it asks the replicas of the stream, and the other daemons only if its service has several versions.
+// fleet it asks the replicas of the stream, and the other daemons and the archive only if its service has several versions.
 func (p *Pinner) Lookup(ctx context.Context, s Stream, several bool) (software string, ok bool) {
 	if software, ok := p.known(s); ok {
 		return software, true
@@ -246,7 +277,26 @@
 		return software, ok
 	}
 	rest := slices.DeleteFunc(slices.Clone(peers), func(a netip.AddrPort) bool { return slices.Contains(first, a) })
-	return p.ask(ctx, s, rest)
+	if software, ok = p.ask(ctx, s, rest); ok {
+		return software, true
+	}
+	return p.findArchived(ctx, s)
+}
+
+// findArchived looks a stream up in the archive. What is found is kept here, for the next daemon that asks.
+func (p *Pinner) findArchived(ctx context.Context, s Stream) (software string, ok bool) {
+	if p.config.Archive == nil {
+		return "", false
+	}
+	software, ok, err := p.config.Archive.Find(ctx, s)
+	if err != nil {
+		p.config.Recorder.Event(recorder.StreamArchiveFailed, "step", "find", "err", err)
+	}
+	if ok {
+		p.store(s, record{software: software})
+		p.config.Recorder.Event(recorder.StreamRecovered, "software", software)
+	}
+	return software, ok
 }
 
 // replicasOf returns the daemons that keep copies of a stream's record, which may include this one.
--- a/recorder/catalogue_requests.go
+++ b/recorder/catalogue_requests.go
@@ -93,6 +93,13 @@
 	// SoftwareRecorded is logged when a listed software version is known to be stored, so that
 	// streams may begin there.
 	SoftwareRecorded Code = 2421
+	// StreamArchiveFailed is logged when the stored records of streams cannot be read, written or deleted.
+	StreamArchiveFailed Code = 2422
+	// StreamArchiveRead is logged when the stored records of streams have been read, because a caller
+	// resumes a stream that no daemon knows.
+	StreamArchiveRead Code = 2423
+	// StreamRecovered is logged when the version of a stream that no daemon knows was found in the store.
+	StreamRecovered Code = 2424
 	// UpstreamCold is logged when an upstream begins or ceases to count as cold.
 	UpstreamCold Code = 2501
 	// WarmupSkipped is logged when the warm-up in an upstream's entry cannot be read. The last one
@@ -135,6 +142,9 @@
 	StreamContinued:     "stream_continued",
 	StreamMessageFailed: "stream_message_failed",
 	SoftwareNotStored:   "software_not_stored",
+	StreamArchiveFailed: "stream_archive_failed",
+	StreamArchiveRead:   "stream_archive_read",
+	StreamRecovered:     "stream_recovered",
 	DelegationFailed:    "delegation_failed",
 	SoftwareUncertain:   "software_uncertain",
 	SoftwareRecorded:    "software_recorded",
