apportioner: the clock since boot shows the stage also after the time of day was set

Cause: the next incarnation takes a step of the time of day for a possible loss of power, and then trusts a key that exists before the end of its stage by the time of day. The key existed because its lease was paused.

Change: if the two clocks differ by at most 10 s, the VM may not have rebooted, and keys of stages that have ended by the clock since boot do not count. The later of the two possible stages is taken.

--- a/apportioner/restart_test.go
+++ b/apportioner/restart_test.go
@@ -89,6 +89,51 @@
 	}
 }
 
+// The store pauses leases, and the time of day is set, so that neither the keys of the stages nor their times show how far the
+// earlier incarnation got. The next one must not spend again what that one has spent in a later stage.
+func TestPausedLeasesAndAStepOfTheClockDoNotCauseOverspending(t *testing.T) {
+	tests := []struct {
+		name          string
+		before, after time.Duration // what the time of day is ahead for either incarnation
+	}{
+		{"set back", 0, -2400 * time.Millisecond},
+		{"set back by the most", 4900 * time.Millisecond, -4900 * time.Millisecond},
+		{"ahead, and back before the restart", 2400 * time.Millisecond, 0},
+		{"ahead", 0, 2400 * time.Millisecond},
+		{"not set", 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, down := range []time.Duration{3, 4, 5, 7, 11} {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(0, 1_000_000)
+					f.add()
+					d := f.daemons[0]
+					d.stop()
+					d.clockOffset = tt.before
+					f.launch(d)
+					time.Sleep(10 * time.Second)
+					f.store.SetFaults(emulator.StoreFaults{Outage: true, PauseLeases: true})
+					for range down * 10 {
+						time.Sleep(100 * time.Millisecond)
+						f.drain(d, 1000)
+					}
+					d.stop()
+					d.clockOffset = tt.after
+					f.store.SetFaults(emulator.StoreFaults{})
+					f.launch(d)
+					defer f.stopAll()
+					for range 100 {
+						time.Sleep(100 * time.Millisecond)
+						f.drain(d, 1000)
+					}
+					require.LessOrEqual(t, f.spent, f.prepaid, "%d s", down)
+				})
+			}
+		})
+	}
+}
+
 // When the response to the take-over is lost, the write has still taken effect. The new incarnation
 // must then continue from the row that it wrote, without spending again what its predecessor spent.
 func TestTakeOverWithLostResponse(t *testing.T) {
--- a/apportioner/stage.go
+++ b/apportioner/stage.go
@@ -38,12 +38,28 @@
 	if !ok {
 		return len(stages), false
 	}
-	for i, minStay := range old.MinStay {
+	return old.stageAfter(elapsed), true
+}
+
+// stageAfter returns the latest stage that the incarnation which wrote a row can have reached after a time.
+func (r *row) stageAfter(elapsed time.Duration) int {
+	for i, minStay := range r.MinStay {
 		if elapsed < minStay {
-			return i, true
+			return i
 		}
 	}
-	return len(stages), true
+	return len(stages)
+}
+
+// earliestStage returns the stage from which on keys show how far the incarnation which wrote a row got. If the VM has not
+// rebooted, the time of day has been set meanwhile, so that it does not bound leases that the store has paused, but the clock
+// since boot shows the stage.
+func (a *Apportioner) earliestStage(old row) int {
+	elapsed, ok := timekeeper.PossiblyElapsed(old.WrittenAt, a.startReading)
+	if !ok {
+		return stageOpen
+	}
+	return old.stageAfter(elapsed)
 }
 
 // findPredecessorStage finds, before this incarnation has a row, the latest stage that the
@@ -60,12 +76,12 @@
 	if old.Confined {
 		a.state.predecessorStage, known = stageOpen, true
 	}
-	latest := a.state.predecessorStage
+	earliest, latest := a.earliestStage(old), a.state.predecessorStage
 	a.mu.Unlock()
 	if known || old.Incarnation == 0 || old.Incarnation == a.config.Incarnation {
 		return nil
 	}
-	for i := range latest {
+	for i := earliest; i < latest; i++ {
 		entry, err := a.config.Store.Get(ctx, a.leaseKey(old.Incarnation, i))
 		if err != nil {
 			return err
--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -28,6 +28,10 @@
 // milliseconds per second at most; jumps are of seconds.
 const maxClockDeviation = 300 * time.Millisecond
 
+// maxClockStep is the largest step of the time of day that is assumed. Clocks of VMs differ by up to 5 s, and a step may
+// go from one end to the other.
+const maxClockStep = 10 * time.Second
+
 // Reading is a reading of the clock. The zero value is not comparable with any other.
 type Reading struct {
 	// BootID identifies the boot.
@@ -62,3 +66,14 @@
 	}
 	return elapsed, true
 }
+
+// PossiblyElapsed returns the time between two readings if they may be of one boot, although the time of day does not
+// show the same time between them: it may have been set. It reports false when they are not of one boot.
+func PossiblyElapsed(earlier, later Reading) (time.Duration, bool) {
+	elapsed := later.SinceBoot - earlier.SinceBoot
+	wallElapsed := time.Duration(later.WallTime - earlier.WallTime)
+	if earlier.BootID == "" || earlier.BootID != later.BootID || elapsed < 0 || (elapsed-wallElapsed).Abs() > maxClockStep {
+		return 0, false
+	}
+	return elapsed, true
+}
