apportioner: daemons that have left are remembered for a restore of the store

Cause: after a restore, what the copy shows as unallocated is withheld for the daemons in the copy's pool and in the last pool that the others knew. One that came and left in between is in neither, and its row is lost. Ruled out: its last round (acknowledged), requests in flight (none).

Change: a daemon remembers for a minute who has left, and from which revision of the pool on. They are withheld for, unless the copy is of that revision or later; the pool keeps the number of its revision in the copy.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -286,10 +286,12 @@
 	leaving      bool
 	// storeEra is the latest era of the store that was seen, since storeEraSince. era is the one in
 	// which this incarnation has written its row. earlierMembers are the daemons known from the
-	// eras before.
+	// eras before, with the number of the pool's revision from which on it shows that they have left.
 	storeEra, era  int64
 	storeEraSince  time.Time
-	earlierMembers map[string]bool
+	earlierMembers map[string]int64
+	// departures are the daemons that have left in the last departureRetention.
+	departures map[string]departure
 	// predecessorLost is true if this incarnation has taken over a row of an earlier era.
 	predecessorLost bool
 	// predecessor is the earlier incarnation whose row this one takes over, and
@@ -336,7 +338,7 @@
 		roundSoon: make(chan struct{}, 1),
 		accounts:  make(map[contractor.Account]*account),
 		roundDone: make(chan struct{}),
-		state:     storeState{memberRounds: make(map[string]memberRound)},
+		state:     storeState{memberRounds: make(map[string]memberRound), departures: make(map[string]departure)},
 	}
 	a.startReading = a.readBootClock()
 	return a
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -22,6 +22,9 @@
 	Unconfirmed map[string]int64 `cbor:"unconfirmed"`
 	// Settled is true once the daemons of the earlier eras have confirmed their rows.
 	Settled bool `cbor:"settled,omitempty"`
+	// Copied is the number of the pool's revision in the copy with which the era began. It shows which
+	// departures the copy lacks. Zero means unknown.
+	Copied int64 `cbor:"copied,omitempty"`
 }
 
 // member is a daemon that has a part in the balances.
@@ -90,7 +93,7 @@
 }
 
 func (p *pool) clone() pool {
-	c := pool{Accounts: maps.Clone(p.Accounts), Members: maps.Clone(p.Members), Era: p.Era, Unconfirmed: maps.Clone(p.Unconfirmed), Settled: p.Settled}
+	c := pool{Accounts: maps.Clone(p.Accounts), Members: maps.Clone(p.Members), Era: p.Era, Unconfirmed: maps.Clone(p.Unconfirmed), Settled: p.Settled, Copied: p.Copied}
 	if c.Accounts == nil {
 		c.Accounts = make(map[contractor.Account]sums)
 	}
--- a/apportioner/restore.go
+++ b/apportioner/restore.go
@@ -1,6 +1,10 @@
 package apportioner
 
 import (
+	"maps"
+	"math"
+	"time"
+
 	"laburnumline/contractor"
 	"laburnumline/persister"
 	"laburnumline/recorder"
@@ -16,7 +20,8 @@
 // unallocated. That part is withheld from all others. When a daemon confirms more than its row in
 // the copy, the difference was a part of what is withheld, so granted plus withheld stays as it was.
 // The rest is released when the last daemon that is known has confirmed, and some time for those
-// that are not known has passed. A daemon that died after the copy never confirms, and an
+// that are not known has passed. A daemon that died after the copy never confirms, nor does one whose orderly
+// departure the copy lacks: what it has spent is known to nobody. An
 // incarnation that starts from a row of an earlier era counts all of it as spent.
 
 // eraStore is a store that tells the era that it has seen last.
@@ -45,10 +50,43 @@
 	}
 	state.storeEra, state.storeEraSince = era, a.config.Now()
 	if state.earlierMembers == nil {
-		state.earlierMembers = make(map[string]bool)
+		state.earlierMembers = make(map[string]int64)
 	}
 	for vm := range state.pool.Members {
-		state.earlierMembers[vm] = true
+		state.earlierMembers[vm] = math.MaxInt64
+	}
+	for vm, d := range state.departures {
+		state.earlierMembers[vm] = max(state.earlierMembers[vm], d.number)
+		d.number = math.MaxInt64 // later copies have other numbers
+		state.departures[vm] = d
+	}
+}
+
+// departureRetention is how long a daemon remembers others that have left. Copies from which a store is restored are
+// some seconds old.
+const departureRetention = time.Minute
+
+// departure records that a daemon has left the pool. The number is that of the pool's revision in which it was first seen to have.
+type departure struct {
+	seenAt time.Time
+	number int64
+}
+
+// trackDepartures records which members have left since the previous pool. The pool of a copy may lack members that have
+// not left. The lock is held.
+func (a *Apportioner) trackDepartures(previous map[string]member, previousRevision contractor.Revision) {
+	state, now := &a.state, a.config.Now()
+	maps.DeleteFunc(state.departures, func(vm string, d departure) bool {
+		_, returned := state.pool.Members[vm]
+		return returned || now.Sub(d.seenAt) > departureRetention
+	})
+	if persister.EraOf(previousRevision) != persister.EraOf(state.poolRevision) {
+		return
+	}
+	for vm := range previous {
+		if _, ok := state.pool.Members[vm]; !ok {
+			state.departures[vm] = departure{seenAt: now, number: persister.NumberOf(state.poolRevision)}
+		}
 	}
 }
 
@@ -78,9 +116,9 @@
 // rows in the copy say, and settles the pool when there are none. The lock is held.
 func (a *Apportioner) updateEra(p *pool) {
 	state := &a.state
-	p.enterEra(state.storeEra, a.prepaid)
-	for vm := range state.earlierMembers {
-		if p.Members[vm].Era < p.Era {
+	p.enterEra(state.storeEra, a.prepaid, persister.NumberOf(state.poolRevision))
+	for vm, number := range state.earlierMembers {
+		if p.Members[vm].Era < p.Era && number > p.Copied {
 			p.addUnconfirmed(vm)
 		}
 	}
@@ -99,12 +137,13 @@
 	}
 }
 
-// enterEra withholds all that is not allocated. It does nothing if the pool is of that era already.
-func (p *pool) enterEra(era int64, prepaid map[contractor.Account]contractor.Tokens) {
+// enterEra withholds all that is not allocated. It does nothing if the pool is of that era already. copied is the
+// number of the pool's revision in the copy.
+func (p *pool) enterEra(era int64, prepaid map[contractor.Account]contractor.Tokens, copied int64) {
 	if p.Era >= era {
 		return
 	}
-	p.Era, p.Settled = era, false
+	p.Era, p.Settled, p.Copied = era, false, copied
 	for vm := range p.Members {
 		p.addUnconfirmed(vm)
 	}
--- a/apportioner/restore_test.go
+++ b/apportioner/restore_test.go
@@ -1,6 +1,7 @@
 package apportioner
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -23,9 +24,10 @@
 	// before and after are the daemons that are killed and start again between the copy and the
 	// restore, and after it. A daemon that is away has no contact with the store for the restore.
 	before, after, away int
-	// added daemons register between the copy and the restore.
-	added            int
-	transfers, relay bool
+	// added daemons register between the copy and the restore. leaving ones do as well, spend, and leave in order;
+	// leavingBefore ones leave just before the copy.
+	added, leaving, leavingBefore int
+	transfers, relay              bool
 	// topUp is added to the prepaid tokens between the copy and the restore.
 	topUp contractor.Tokens
 	// minSpent is the fraction of the prepaid tokens that can be spent at least. The users owe a
@@ -46,6 +48,10 @@
 	{name: "one is away", daemons: 7, prepaid: 1_800_000, requestSize: 10_000, away: 2, minSpent: owedFraction},
 	{name: "away and restarts", daemons: 7, prepaid: 2_500_000, requestSize: 10_000, away: 1, before: 1, after: 1},
 	{name: "daemons are added", daemons: 5, prepaid: 1_800_000, requestSize: 10_000, added: 2, minSpent: owedFraction},
+	{name: "added daemons leave", daemons: 5, prepaid: 1_800_000, requestSize: 10_000, leaving: 1},
+	{name: "added daemons leave, large requests", daemons: 2, prepaid: 900_000, requestSize: 10_000, leaving: 1},
+	{name: "added daemons leave, relay", daemons: 40, prepaid: 6_000_000, requestSize: 10_000, leaving: 3, relay: true},
+	{name: "daemons leave before the copy", daemons: 5, prepaid: 1_800_000, requestSize: 10_000, leavingBefore: 1, minSpent: owedFraction},
 	{name: "top-up", daemons: 7, prepaid: 1_200_000, requestSize: 10_000, topUp: 600_000, minSpent: owedFraction},
 	{name: "relay", daemons: 40, prepaid: 6_000_000, requestSize: 10_000, relay: true, transfers: true},
 	{name: "relay and restarts", daemons: 40, prepaid: 6_000_000, requestSize: 10_000, relay: true, transfers: true, before: 3, after: 3},
@@ -94,7 +100,12 @@
 
 // drill restores the store from a copy that is 2 to 5 s old.
 func (c restoreCase) drill(f *fleet, random *rand.Rand) {
+	f.addAndLeave(random, c.leavingBefore, c.requestSize)
+	if c.leavingBefore > 0 {
+		f.spendFor(random, 3*time.Second, c.requestSize) // the others see the departures
+	}
 	content := f.store.Copy()
+	f.addAndLeave(random, c.leaving, c.requestSize)
 	f.spendFor(random, time.Duration(500+random.IntN(1500))*time.Millisecond, c.requestSize)
 	for range c.added {
 		f.add()
@@ -122,6 +133,31 @@
 	}
 }
 
+// addAndLeave adds daemons, which serve for 3 s and then leave in order.
+func (f *fleet) addAndLeave(random *rand.Rand, count int, size contractor.Tokens) {
+	before := len(f.daemons)
+	for range count {
+		f.add()
+		f.daemons[len(f.daemons)-1].SetPrepaidLimits(map[contractor.Account]contractor.Tokens{testAccount: f.prepaid})
+	}
+	if count == 0 {
+		return
+	}
+	f.spendFor(random, 3*time.Second, size)
+	leaving := f.daemons[before:]
+	for _, d := range leaving {
+		for range 20 {
+			_ = f.spend(d, size, size) // refused once its share is used up
+		}
+		d.stop()
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, d := range leaving {
+		d.Leave(context.Background())
+	}
+	f.daemons = f.daemons[:before]
+}
+
 // spendFor spends at random daemons for a time. Refusals are allowed.
 func (f *fleet) spendFor(random *rand.Rand, d time.Duration, size contractor.Tokens) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(random.IntN(80)) * time.Millisecond) {
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -188,7 +188,9 @@
 			if err != nil {
 				return err
 			}
+			previous, previousRevision := state.pool.Members, state.poolRevision
 			state.pool, state.poolRevision = p.clone(), e.Revision
+			a.trackDepartures(previous, previousRevision)
 			a.trackMemberRounds()
 			continue
 		}
@@ -295,8 +297,10 @@
 	state.row, state.rowRevision = p.row, revision
 	state.current = persister.EraOf(revision) <= state.storeEra
 	if p.rebalances {
+		previous, previousRevision := state.pool.Members, state.poolRevision
 		state.pool, state.poolRevision, state.rebalancedAt = p.pool, revision, a.config.Now()
 		state.current = a.adoptMergedPool(merged) && state.current
+		a.trackDepartures(previous, previousRevision)
 	}
 	if !state.joined {
 		a.join()
