forwarder: a request that was quarantined needs a permit

Cause: a minute after its last crash a quarantined request is a suspect, and forwarder refuses only what is quarantined, so each daemon passes it on until it hears of the next crash. Ruled out: notices that are lost (they arrive within 0.1 s), restarts (none).

Change: such a request needs a permit of the store, one of the fleet at a time. Served, it is no suspect any more at any daemon; else it is refused for another minute.

--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -219,9 +219,13 @@
 
 // call sends one request through a random daemon.
 func (f *crashFleet) call(path, body string, random *rand.Rand, parts ...uint64) {
+	f.callTarget(path, fmt.Sprint(path, random.Uint64()), body, random, parts...)
+}
+
+func (f *crashFleet) callTarget(path, target, body string, random *rand.Rand, parts ...uint64) {
 	daemon := f.forwarders[random.IntN(len(f.forwarders))]
 	request := &Request{
-		ID: fmt.Sprint(random.Uint64()), Method: "POST", Host: "a.example", Path: path, Target: fmt.Sprint(path, random.Uint64()), Header: http.Header{}, Key: "key",
+		ID: fmt.Sprint(random.Uint64()), Method: "POST", Host: "a.example", Path: path, Target: target, Header: http.Header{}, Key: "key",
 		Body: strings.NewReader(body), Length: int64(len(body)), CallerTimeout: 5 * time.Second, ReceivedAt: time.Now(),
 	}
 	at := request.ReceivedAt
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -49,8 +49,10 @@
 	tried          []registrar.Name
 	// permit allows the request although a part of its prompt is suspected of crashing
 	// upstreams. permitUpstream is the upstream that may have executed it last.
+	// permitsRequest is true if the permit is for the whole request.
 	permit         *quarantiner.Permit
 	permitUpstream registrar.Name
+	permitsRequest bool
 	// firstOutput is the time of the first output of the current attempt. served is true once
 	// the attempt has shown that the request does not crash its upstream.
 	firstOutput time.Time
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -18,6 +18,7 @@
 	// Empty reports whether no request or part is known to have crashed an upstream.
 	Empty() bool
 	Check(now time.Time, d quarantiner.Digest) quarantiner.Verdict
+	WasQuarantined(d quarantiner.Digest) bool
 	Begin(now time.Time, d quarantiner.Digest, upstream string)
 	End(now time.Time, d quarantiner.Digest, upstream string, crashed bool)
 	CheckParts(now time.Time, parts []quarantiner.Digest) (quarantiner.Digest, quarantiner.Verdict)
@@ -25,8 +26,10 @@
 	PartsServed(now time.Time, parts []quarantiner.Digest)
 }
 
-// Permits grants the fleet's permits to execute a request with a suspected part.
+// Permits grants the fleet's permits to execute a request with a suspected part, or one that has been quarantined. Lift ends
+// the suspicion against a request that has been served.
 type Permits interface {
+	Lift(ctx context.Context, d quarantiner.Digest) error
 	Permit(ctx context.Context, d quarantiner.Digest, parts ...quarantiner.Digest) (*quarantiner.Permit, error)
 }
 
@@ -70,8 +73,15 @@
 	if quarantine.Empty() {
 		return nil
 	}
-	if quarantine.Check(now, x.digest()) == quarantiner.Quarantined {
+	digest := x.digest()
+	switch verdict := quarantine.Check(now, digest); {
+	case verdict == quarantiner.Quarantined:
 		return quarantineRefusal("the request has crashed the upstreams that ran it")
+	case verdict == quarantiner.Suspect && x.permit == nil && quarantine.WasQuarantined(digest):
+		if refusal := x.requestPermit(ctx, digest); refusal != nil {
+			return refusal
+		}
+		x.permitsRequest = x.permit != nil
 	}
 	part, verdict := quarantine.CheckParts(now, x.sharedParts())
 	switch {
@@ -89,9 +99,9 @@
 	return refuser.New(refuser.Quarantined, "check").WithRetryAfter(quarantineRetryAfter).WithDetail("%s", detail)
 }
 
-// requestPermit obtains the permit to execute a request with a suspected part.
-func (x *exchange) requestPermit(ctx context.Context, part quarantiner.Digest) *refuser.Refusal {
-	permit, err := x.forwarder.config.Permits.Permit(ctx, part, x.sharedParts()...)
+// requestPermit obtains the permit to execute a suspected request, or one with a suspected part.
+func (x *exchange) requestPermit(ctx context.Context, suspect quarantiner.Digest) *refuser.Refusal {
+	permit, err := x.forwarder.config.Permits.Permit(ctx, suspect, x.sharedParts()...)
 	var refusal *refuser.Refusal
 	if errors.As(err, &refusal) {
 		return refusal
@@ -103,18 +113,33 @@
 	return nil
 }
 
-// endPermit releases the permit. The part is cleared if the request was served.
+// endPermit releases the permit. The suspect is cleared if the request was served.
 func (x *exchange) endPermit() {
 	if x.permit == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), permitEndTimeout)
 	defer cancel()
-	if err := x.permit.End(ctx, string(x.permitUpstream), !x.served && x.permitUpstream != ""); err != nil {
+	err := error(nil)
+	if x.permitsRequest {
+		err = x.endRequestPermit(ctx)
+	} else {
+		err = x.permit.End(ctx, string(x.permitUpstream), !x.served && x.permitUpstream != "")
+	}
+	if err != nil {
 		x.forwarder.config.Recorder.Event(recorder.QuarantineNotStored, "id", x.request.ID, "err", err)
 	}
 }
 
+// endRequestPermit releases the permit of a whole request. It shared its upstream with others, so only reportCrash
+// attributes a crash to it. Without an answer it is a suspect anew, as of its permit.
+func (x *exchange) endRequestPermit(ctx context.Context) error {
+	if err := x.permit.End(ctx, "", false); err != nil || !x.served {
+		return err
+	}
+	return x.forwarder.config.Permits.Lift(ctx, x.digest())
+}
+
 // recordOutput refutes crashes that were attributed to the parts of the prompt, once the
 // current attempt has produced output for quarantiner.OutputTime.
 func (x *exchange) recordOutput() {
--- a/forwarder/suspect_test.go
+++ b/forwarder/suspect_test.go
@@ -96,3 +96,61 @@
 		})
 	}
 }
+
+// repeat sends a request again and again: every 2 s at four daemons at once.
+func (f *crashFleet) repeat(duration time.Duration, body string, random *rand.Rand) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(2 * time.Second) {
+		for range 4 {
+			f.callTarget("/again/", "/again/same", body, random)
+		}
+	}
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+}
+
+// A request that crashes its upstreams comes again for minutes, at all daemons. When its quarantine ends, one daemon may pass it on, not
+// each of them, until they have heard of the next crash.
+func TestQuarantinedRequestIsTestedByOneDaemon(t *testing.T) {
+	const (
+		stable       = 3 * time.Second // after the third crash; the users count from then on
+		maxSentAfter = 3               // what the users allow
+	)
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newCrashFleet(t, 7, 18, 100*time.Millisecond)
+			f.repeat(150*time.Second, crashBody, rand.New(rand.NewPCG(seed, 6)))
+			require.GreaterOrEqual(t, len(f.crashes), 3)
+			late := 0
+			for _, at := range f.sent {
+				if at.After(f.crashes[2].Add(stable)) {
+					late++
+				}
+			}
+			t.Logf("seed %d: %d crashes, %d sent too late", seed, len(f.crashes), late)
+			require.LessOrEqual(t, late, maxSentAfter)
+			require.Zero(t, f.falselyRefused)
+		})
+	}
+}
+
+// A sound request was running at upstreams that crashed for another reason. Once a daemon has served it, all daemons serve it, also at
+// the same time.
+func TestWronglyQuarantinedRequestIsServedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, random := newCrashFleet(t, 7, 18, 100*time.Millisecond), rand.New(rand.NewPCG(1, 7))
+		request := &Request{Method: "POST", Target: "/again/same", Key: "key"}
+		digest := (&exchange{request: request, body: []byte("sound")}).digest()
+		for i := range 3 {
+			f.quarantines[i].Begin(time.Now(), digest, f.list[i].Address.String())
+			f.quarantines[i].End(time.Now(), digest, f.list[i].Address.String(), true)
+		}
+		time.Sleep(time.Second)
+		start := time.Now()
+		f.repeat(100*time.Second, "sound", random)
+		before, asked := f.share(start, start.Add(50*time.Second))
+		after, askedAfter := f.share(start.Add(70*time.Second), time.Now())
+		t.Logf("%.2f of %d while quarantined, %.2f of %d later", before, asked, after, askedAfter)
+		require.Zero(t, before)
+		require.Equal(t, 1.0, after)
+	})
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -212,6 +212,14 @@
 	return q.verdict(now, &record)
 }
 
+// WasQuarantined reports whether a request has crashed enough upstreams to be quarantined. Once it is a suspect again, it
+// needs a permit to be executed.
+func (q *Quarantiner) WasQuarantined(d Digest) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.records[d].CrashedUpstreams) >= q.config.MaxCrashes
+}
+
 func (q *Quarantiner) verdict(now time.Time, r *Record) Verdict {
 	recent := now.Unix()-r.LastCrash <= int64(q.config.SuspicionPeriod.Seconds())
 	switch {
--- a/quarantiner/registry.go
+++ b/quarantiner/registry.go
@@ -79,7 +79,7 @@
 }
 
 // Permit requests a permit to execute a suspect: a request, or a part of a request with some parts. It charges a crash in
-// advance, which End removes. The permit is nil if the store shows that the part has been cleared. Errors are
+// advance, which End removes. The permit is nil if the store shows that the suspect has been cleared. Errors are
 // *refuser.Refusal with Execution equal to NotExecuted.
 func (r *Registry) Permit(ctx context.Context, d Digest, parts ...Digest) (*Permit, error) {
 	for range maxCommitAttempts {
@@ -103,7 +103,7 @@
 	if record.PermitHolder != "" && now.Unix()-record.PermitGranted <= int64(r.permitTimeout().Seconds()) {
 		return nil, busyRefusal(d)
 	}
-	if record.Part && len(record.CrashedUpstreams) == 0 {
+	if len(record.CrashedUpstreams) == 0 && (record.Part || record.Lifts > 0) {
 		r.Local.Merge(now, []Record{record})
 		return nil, nil
 	}
@@ -205,7 +205,7 @@
 	}
 }
 
-// Lift lifts the quarantine of a request at an operator's request.
+// Lift lifts the quarantine of a request: at an operator's request, or because it has been executed without a crash.
 func (r *Registry) Lift(ctx context.Context, d Digest) error {
 	for range maxCommitAttempts {
 		record, revision, err := r.read(ctx, d)
