--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -291,7 +291,7 @@
 func (x *exchange) recordRefusal(refusal *refuser.Refusal) {
 	rec := x.forwarder.config.Recorder
 	rec.CountRefusal(refusal.Reason)
-	rec.Event(recorder.RequestRefused, "id", x.request.ID, "reason", refusal.Reason, "ran", refusal.Execution,
+	rec.Event(recorder.RequestRefused, "id", x.request.ID, "resumes", x.request.Resumes, "reason", refusal.Reason, "ran", refusal.Execution,
 		"route", x.routeName(), "account", x.accountName(), "attempts", x.sends, "age", time.Since(x.request.ReceivedAt),
 		"retry_after", refusal.RetryAfter, "version", x.version, "detail", refusal.Detail, "err", refusal.Err)
 }
--- a/registrar/leaving.go
+++ b/registrar/leaving.go
@@ -64,7 +64,8 @@
 type statement struct {
 	service               resolver.ServiceName
 	startedAtMs, sequence int64
-	seenAt                time.Time
+	// seenAt is when the entry was seen, startSeenAt when the first one of its start was.
+	seenAt, startSeenAt time.Time
 	// earlier is the last entry of an earlier start that came after this one.
 	earlier *statement
 }
@@ -81,16 +82,21 @@
 }
 
 // isOlder reports whether an upstream wrote an entry before the latest one that was seen under its key, and else records it as
-// the latest. A write whose answer was lost may take effect seconds later, after newer ones. An earlier start that goes on
-// writing is that of an upstream whose clock was set back. The lock is held.
+// the latest. A write whose answer was lost may take effect seconds later, after newer ones. An earlier start that comes later
+// than that, or that goes on writing, is that of an upstream whose clock was set back. The lock is held.
 func (r *Registrar) isOlder(key string, u *Upstream) bool {
-	written := statement{service: u.Service, startedAtMs: u.StartedAtMs, sequence: u.Sequence, seenAt: r.config.Now()}
+	now := r.config.Now()
+	written := statement{service: u.Service, startedAtMs: u.StartedAtMs, sequence: u.Sequence, seenAt: now, startSeenAt: now}
 	latest, ok := r.latest[key]
-	if !ok || !written.precedes(latest) {
+	sameStart := ok && written.startedAtMs == latest.startedAtMs
+	if sameStart {
+		written.startSeenAt = latest.startSeenAt
+	}
+	if !ok || !written.precedes(latest) || !sameStart && now.Sub(latest.startSeenAt) > maxWriteDelay {
 		r.latest[key] = written
 		return false
 	}
-	if written.startedAtMs == latest.startedAtMs {
+	if sameStart {
 		return true
 	}
 	if e := latest.earlier; e != nil && e.startedAtMs == written.startedAtMs && e.precedes(written) {
--- a/registrar/leaving_test.go
+++ b/registrar/leaving_test.go
@@ -229,6 +229,10 @@
 			put(t, l, leavingEntry{Start: earlier, Sequence: 1, Draining: true})
 			put(t, l, leavingEntry{Start: earlier, Sequence: 2, Draining: true})
 		}, false},
+		{"an earlier start long after the later one, after a step of its clock", func(t *testing.T, l leavingList, _ *Upstream) {
+			wait(l, maxWriteDelay+time.Millisecond)
+			put(t, l, leavingEntry{Start: earlier, Sequence: 1, Draining: true})
+		}, false},
 		{"another writer's entry with a high number", func(t *testing.T, l leavingList, _ *Upstream) {
 			put(t, l, leavingEntry{Start: start, Sequence: 1000, Service: "other"})
 			put(t, l, ready(6))
