--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-go build -o target/review-3/ ./review/third/drill ./review/third/leaving ./review/third/versions
+go build -o target/review-3/ ./review/third/drill ./review/third/idle ./review/third/leaving ./review/third/versions
--- a/review/third/leaving/main.go
+++ b/review/third/leaving/main.go
@@ -1,4 +1,4 @@
-// Command leaving plays case 13: runners leave while the store is away and a machine reaches no runner, so that other
+// Command leaving plays case 14: runners leave while the store is away and a machine reaches no runner, so that other
 // machines serve its requests. The rule is DRAIN: a machine that has passed on an answer with Server-Leaving sends that
 // runner nothing that was sent to it later than drainMs after that.
 package main
--- a/review/third/stage/client.go
+++ b/review/third/stage/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -52,7 +53,8 @@
 
 var lastAttempt atomic.Int64
 
-func newAttemptID() string {
+// NewAttemptID returns the ID of the next client attempt.
+func NewAttemptID() string {
 	return fmt.Sprintf("%08x%08x", lastAttempt.Add(1), rand.Uint32())
 }
 
@@ -125,7 +127,7 @@
 
 func (s *Stage) attempt(ctx context.Context, d *Draft, c *Connection, left time.Duration, lastEvent *int, first string) (a Attempt) {
 	daemon := c.Daemon
-	a = Attempt{ID: newAttemptID(), Daemon: daemon, SentAt: time.Now()}
+	a = Attempt{ID: NewAttemptID(), Daemon: daemon, SentAt: time.Now()}
 	defer func() {
 		a.EndedAt = time.Now()
 		s.Log("attempt %s of %s at %s, %d+%d tokens, resumes %q after %d: status %d, %d events, complete %v, took %v, err %v", a.ID, d.Tenant, daemon.Name,
@@ -180,8 +182,8 @@
 	return a
 }
 
-// IsDeadline reports whether an attempt ended because the client's time was over.
-func (a *Attempt) IsDeadline() bool { return errors.Is(a.Err, context.DeadlineExceeded) }
+// IsTimeout reports whether an error means that the client's time was over.
+func IsTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // runnerOf returns the runner that has made a signature.
 func runnerOf(signature string) string {
--- a/review/third/stage/stage.go
+++ b/review/third/stage/stage.go
@@ -33,6 +33,7 @@
 	Desk  = "order-desk"
 	// ModelPath and DeskPath begin the paths of their routes.
 	ModelPath = "/lohu930/"
+	AskPath   = "/cufi504/" // streams that may not be resumed
 	DeskPath  = "/puxa403/"
 )
 
--- a/review/third/stage/store.go
+++ b/review/third/stage/store.go
@@ -125,8 +125,14 @@
 
 type object = map[string]any
 
+// IdleTimeout is the limit of idle connections of clients in the config.
+const IdleTimeout = 15 * time.Second
+
 // Configure writes the next version of the config as the operator does.
-func (s *Store) Configure(tenants []Tenant) {
+func (s *Store) Configure(tenants []Tenant) { s.ConfigureIdle(tenants, IdleTimeout) }
+
+// ConfigureIdle is Configure with another limit of idle connections of clients.
+func (s *Store) ConfigureIdle(tenants []Tenant, idle time.Duration) {
 	s.mu.Lock()
 	s.version++
 	var list []object
@@ -138,6 +144,8 @@
 		"routes": []object{
 			{"name": "mesh-rev", "hostname": Host, "prefix": ModelPath, "routeType": "streaming", "timeoutMs": 6000, "targetLatencyMs": 600, "targetItlMs": 300,
 				"priority": 0, "backend": Model, "attempts": 2, "resumable": true, "sessionAffinity": true},
+			{"name": "rig-ask", "hostname": Host, "prefix": AskPath, "routeType": "streaming", "timeoutMs": 15000, "targetLatencyMs": 500, "targetItlMs": 300,
+				"priority": 2, "backend": Model, "attempts": 1, "resumable": false, "sessionAffinity": true},
 			{"name": "order-confirm", "hostname": Host, "prefix": DeskPath, "routeType": "non_idempotent", "timeoutMs": 600, "targetLatencyMs": 120,
 				"priority": 2, "backend": Desk, "attempts": 1},
 		},
@@ -145,7 +153,7 @@
 			{"name": Model, "healthPath": "/healthz", "maxConnections": 360, "backendEngine": object{"batchSlots": 64, "kvCapacity": 448621, "interval": TokensPerEvent}},
 			{"name": Desk, "healthPath": "/healthz", "maxConnections": 100},
 		},
-		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": idle.Milliseconds()},
 		"tenants": list,
 	})
 	if err != nil {
