--- a/review/third/stage/client.go
+++ b/review/third/stage/client.go
@@ -49,7 +49,7 @@
 }
 
 // retryDelay is how long a client that was not told when to come back waits between two attempts.
-const retryDelay = 400 * time.Millisecond
+const retryDelay = 900 * time.Millisecond
 
 var lastAttempt atomic.Int64
 
--- a/review/third/versions/main.go
+++ b/review/third/versions/main.go
@@ -22,10 +22,10 @@
 	answerSlack   = 500 * time.Millisecond
 	daemons       = 7
 	runners       = 18
-	tenants       = 40
+	tenants       = 400
 	// streamsPerSecond is the rate of streams on new connections, keptConnections the number of clients that keep
 	// theirs and send short requests.
-	streamsPerSecond = 180
+	streamsPerSecond = 500
 	keptConnections  = 100
 	warmup           = 4 * time.Second
 	interval         = 8 * time.Second // between two kills of all daemons
