apportioner: a new incarnation does not confirm what its VM's last one held

Cause: who may hold more than the copy shows was kept by the VM's name. The added VM's new incarnation finds no row, so it takes itself for a new VM, and registers in the new era. The others know that a daemon of that name held tokens, but take the new entry for its confirmation (updateEra, and mergeEra at a relay). After 5 s the pool is settled and the tokens are granted again. Ruled out: the stages and clocks (there is no row to take over), and transfers (none are needed). By the same confusion a departure was forgotten as soon as a daemon of that name was back, and what was unconfirmed before a second restore was forgotten with the pool that named it.

Change: a row has a lineage, which an incarnation keeps if it takes over the last row of the one before, and begins anew if it finds no row or that of a copy. The pool's members state theirs. Unconfirmed daemons, departures and what is known from earlier eras are kept by VM and lineage; a row confirms its own lineage only. What was unconfirmed in an earlier era is remembered for the next. A daemon that had read its predecessor's row before the restore remembers that, too. If one that is unknown to a settled pool turns up, all that is unallocated is withheld again. Older daemons keep the keys of lineages and drop the lineages of members, which then count by name, as before.

Test: case "added daemon is killed, 2" of TestRestoredStoreDoesNotGrantTokensTwice.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -285,14 +285,16 @@
 	joined       bool
 	leaving      bool
 	// storeEra is the latest era of the store that was seen, since storeEraSince. era is the one in
-	// which this incarnation has written its row. earlierMembers are the daemons known from the
-	// eras before, with the number of the pool's revision from which on it shows that they have left.
-	storeEra, era  int64
-	storeEraSince  time.Time
-	earlierMembers map[string]int64
-	// departures are the daemons that have left in the last departureRetention.
-	departures map[string]departure
-	// predecessorLost is true if this incarnation has taken over a row of an earlier era.
+	// which this incarnation has written its row. earlierLineages are those known from the eras before, by key, with
+	// the number of the pool's revision from which on it shows that they have left.
+	storeEra, era   int64
+	storeEraSince   time.Time
+	earlierLineages map[string]int64
+	// lineage is that of this incarnation, once it has joined.
+	lineage uint32
+	// departures are the lineages that have left in the last departureRetention.
+	departures map[lineageID]departure
+	// predecessorLost is true if this incarnation has taken over a row of an earlier era that names no lineage.
 	predecessorLost bool
 	// predecessor is the earlier incarnation whose row this one takes over, and
 	// predecessorStage the latest stage that it can have reached. len(stages) means that it
@@ -338,7 +340,7 @@
 		roundSoon: make(chan struct{}, 1),
 		accounts:  make(map[contractor.Account]*account),
 		roundDone: make(chan struct{}),
-		state:     storeState{memberRounds: make(map[string]memberRound), departures: make(map[string]departure)},
+		state:     storeState{memberRounds: make(map[string]memberRound), departures: make(map[lineageID]departure)},
 	}
 	a.startReading = a.readBootClock()
 	return a
--- a/apportioner/fleet_test.go
+++ b/apportioner/fleet_test.go
@@ -129,8 +129,7 @@
 	name string
 	link *storeLink
 	*Apportioner
-	stop   context.CancelFunc
-	starts uint64
+	stop context.CancelFunc
 	// reboots is how often the VM was rebooted.
 	reboots int
 	// clockOffset is what the time of day is ahead for the next incarnation.
@@ -148,6 +147,7 @@
 	// no transfers.
 	transfers *rand.Rand
 	started   time.Time
+	launches  uint64 // of all daemons
 }
 
 // bootClock returns the clock of the boot in which the next incarnation of d starts. All boots
@@ -199,15 +199,15 @@
 	return r.Close
 }
 
-// launch starts the next incarnation of a daemon. Its number differs from those of the daemon's
-// other incarnations.
+// launch starts the next incarnation of a daemon. Its number differs from those of all others, also of a daemon that had the
+// name before.
 func (f *fleet) launch(d *daemon) {
-	d.starts++
+	f.launches++
 	offset := d.clockOffset
 	d.Apportioner = New(Config{
 		Now:   func() time.Time { return time.Now().Add(offset) },
 		Store: d.link, Name: d.name, AllocatedFraction: f.allocatedFraction, RequestTransfer: f.transferRequester(d), BootClock: f.bootClock(d),
-		Incarnation: contractor.Incarnation(d.starts*1000 + uint64(len(d.name)+int(d.name[5]))),
+		Incarnation: contractor.Incarnation(f.launches*1000 + uint64(len(d.name)+int(d.name[5]))),
 	})
 	d.SetPrepaidLimits(map[contractor.Account]contractor.Tokens{testAccount: f.prepaid})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/apportioner/merge.go
+++ b/apportioner/merge.go
@@ -114,10 +114,15 @@
 	if base.Era != p.Era || mine.Era != p.Era {
 		return fmt.Errorf("merge: the pool is of era %d, and a change from era %d to %d does not apply to it", p.Era, base.Era, mine.Era)
 	}
+	settled := p.Settled
 	p.mergeEra(base, mine)
+	resumed := settled && !p.Settled
 	for name, m := range mine.Accounts {
 		b, t := base.Accounts[name], p.Accounts[name]
 		granted, withheld := m.Granted-b.Granted, m.Withheld-b.Withheld
+		if resumed {
+			t.Withheld, withheld = 0, 0 // see below
+		}
 		t.Granted += granted
 		t.Withheld += withheld
 		taken := t.Granted
@@ -132,6 +137,9 @@
 		t.Prepaid = m.Prepaid
 		p.Accounts[name] = t
 	}
+	if resumed {
+		p.withholdUnallocated()
+	}
 	for vm, m := range mine.Members {
 		if m != base.Members[vm] {
 			p.Members[vm] = m
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -16,8 +16,8 @@
 type pool struct {
 	Accounts map[contractor.Account]sums `cbor:"accounts"`
 	Members  map[string]member           `cbor:"members"` // by VM
-	// Era is the era of the store in which the pool is valid. Unconfirmed has the VMs whose
-	// daemons may hold more than their rows say, since the store was restored to begin the era given.
+	// Era is the era of the store in which the pool is valid. Unconfirmed has the lineages (see lineageID.key) that
+	// may hold more than their rows say, since the store was restored to begin the era given.
 	Era         int64            `cbor:"era,omitempty"`
 	Unconfirmed map[string]int64 `cbor:"unconfirmed"`
 	// Settled is true once the daemons of the earlier eras have confirmed their rows.
@@ -35,6 +35,8 @@
 	LinkBandwidth float32 `cbor:"link"`
 	// Era is the era of the store in which the daemon has written its row.
 	Era int64 `cbor:"era,omitempty"`
+	// Lineage is that of its row.
+	Lineage uint32 `cbor:"lineage,omitempty"`
 }
 
 // sums are the totals of one account over all rows, including rows that are gone.
@@ -51,6 +53,9 @@
 // row is the entry of one daemon.
 type row struct {
 	Incarnation contractor.Incarnation `cbor:"incarnation"`
+	// Lineage is common to the incarnations of a VM of which each has taken over the last row of the one before.
+	// Zero means unknown: daemons of earlier versions do not write it.
+	Lineage uint32 `cbor:"lineage,omitempty"`
 	// Era is the era of the store in which the row was written.
 	Era      int64                          `cbor:"era,omitempty"`
 	Accounts map[contractor.Account]holding `cbor:"accounts"`
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -75,10 +75,13 @@
 	stage := a.state.predecessorStage
 	if p.row.Era < a.state.storeEra {
 		stage = len(stages) // the row is that of a copy: what its daemon held later is not known
-		a.state.predecessorLost = p.row.Incarnation != 0
+		a.loseLineage(&p.row)
 	}
 	p.lostTokens = p.row.takeOver(a.config.Incarnation, stage)
 	p.row.Era = a.state.storeEra
+	if p.row.Lineage == 0 {
+		p.row.Lineage = lineageOf(a.config.Incarnation)
+	}
 }
 
 // rebalanceDue reports whether the next round changes the pool: periodically, and when a share
@@ -129,7 +132,10 @@
 	if state.leaving {
 		delete(p.pool.Members, a.config.Name)
 	} else {
-		p.pool.Members[a.config.Name] = member{Round: state.roundNumber, Address: a.config.Address.String(), LinkBandwidth: float32(a.config.LinkBandwidth), Era: a.state.storeEra}
+		p.pool.Members[a.config.Name] = member{
+			Round: state.roundNumber, Address: a.config.Address.String(), LinkBandwidth: float32(a.config.LinkBandwidth),
+			Era: state.storeEra, Lineage: state.lineage,
+		}
 	}
 }
 
--- a/apportioner/restore.go
+++ b/apportioner/restore.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"laburnumline/contractor"
@@ -49,19 +50,36 @@
 		return
 	}
 	state.storeEra, state.storeEraSince = era, a.config.Now()
-	if state.earlierMembers == nil {
-		state.earlierMembers = make(map[string]int64)
+	a.rememberPool()
+	for id, d := range state.departures {
+		a.rememberLineage(id.key(), d.number)
+		d.number = math.MaxInt64 // later copies have other numbers
+		state.departures[id] = d
 	}
-	for vm := range state.pool.Members {
-		state.earlierMembers[vm] = math.MaxInt64
+	if !state.joined && state.row.Incarnation != 0 {
+		a.rememberLineage(lineageID{a.config.Name, state.row.Lineage}.key(), math.MaxInt64) // read before the restore
 	}
-	for vm, d := range state.departures {
-		state.earlierMembers[vm] = max(state.earlierMembers[vm], d.number)
-		d.number = math.MaxInt64 // later copies have other numbers
-		state.departures[vm] = d
+}
+
+// rememberPool records the lineages that the known pool shows, of an era that has ended. The lock is held.
+func (a *Apportioner) rememberPool() {
+	for vm, m := range a.state.pool.Members {
+		a.rememberLineage(lineageID{vm, m.Lineage}.key(), math.MaxInt64)
+	}
+	for key := range a.state.pool.Unconfirmed {
+		a.rememberLineage(key, math.MaxInt64)
 	}
 }
 
+// rememberLineage records a lineage of an earlier era. The number is that of the pool's revision from which on it shows that
+// the lineage has left. The lock is held.
+func (a *Apportioner) rememberLineage(key string, number int64) {
+	if a.state.earlierLineages == nil {
+		a.state.earlierLineages = make(map[string]int64)
+	}
+	a.state.earlierLineages[key] = max(a.state.earlierLineages[key], number)
+}
+
 // departureRetention is how long a daemon remembers others that have left. Copies from which a store is restored are
 // some seconds old.
 const departureRetention = time.Minute
@@ -72,20 +90,19 @@
 	number int64
 }
 
-// trackDepartures records which members have left since the previous pool. The pool of a copy may lack members that have
+// trackDepartures records which lineages have left since the previous pool. The pool of a copy may lack members that have
 // not left. The lock is held.
 func (a *Apportioner) trackDepartures(previous map[string]member, previousRevision contractor.Revision) {
 	state, now := &a.state, a.config.Now()
-	maps.DeleteFunc(state.departures, func(vm string, d departure) bool {
-		_, returned := state.pool.Members[vm]
-		return returned || now.Sub(d.seenAt) > departureRetention
+	maps.DeleteFunc(state.departures, func(id lineageID, d departure) bool {
+		return state.pool.hasMember(id) || now.Sub(d.seenAt) > departureRetention
 	})
 	if persister.EraOf(previousRevision) != persister.EraOf(state.poolRevision) {
 		return
 	}
-	for vm := range previous {
-		if _, ok := state.pool.Members[vm]; !ok {
-			state.departures[vm] = departure{seenAt: now, number: persister.NumberOf(state.poolRevision)}
+	for vm, m := range previous {
+		if id := (lineageID{vm, m.Lineage}); !state.pool.hasMember(id) {
+			state.departures[id] = departure{seenAt: now, number: persister.NumberOf(state.poolRevision)}
 		}
 	}
 }
@@ -99,29 +116,32 @@
 	state := &a.state
 	p.rebalances, p.confirms = true, true
 	p.pool = state.pool.clone()
+	settled := p.pool.Era == state.storeEra && p.pool.Settled // without this daemon
 	a.updateEra(&p.pool)
 	a.planMembership(p)
 	if since, ok := p.pool.Unconfirmed[a.config.Name]; ok && state.era < since && !state.predecessorLost {
 		delete(p.pool.Unconfirmed, a.config.Name)
 	}
-	p.row.Incarnation, p.row.Era = a.config.Incarnation, state.storeEra
+	p.row.Incarnation, p.row.Lineage, p.row.Era = a.config.Incarnation, state.lineage, state.storeEra
 	for name, s := range a.accounts {
 		h := p.row.Accounts[name]
 		h.Granted, h.Limits, h.Spent = s.granted, s.limits, s.spent
-		p.pool.confirm(&p.row, name, h, s.spent+s.reserved, a.prepaid[name])
+		p.pool.confirm(&p.row, name, h, s.spent+s.reserved, a.prepaid[name], settled || p.pool.Settled)
 	}
 }
 
-// updateEra makes the pool one of the current era, adds the daemons that may hold more than their
+// updateEra makes the pool one of the current era, adds the lineages that may hold more than their
 // rows in the copy say, and settles the pool when there are none. The lock is held.
 func (a *Apportioner) updateEra(p *pool) {
 	state := &a.state
 	p.enterEra(state.storeEra, a.prepaid, persister.NumberOf(state.poolRevision))
-	for vm, number := range state.earlierMembers {
-		if p.Members[vm].Era < p.Era && number > p.Copied {
-			p.addUnconfirmed(vm)
+	confirmed := p.confirmedKeys(len(state.earlierLineages))
+	for key, number := range state.earlierLineages {
+		if number > p.Copied && !confirmed[key] {
+			p.addUnconfirmed(key)
 		}
 	}
+	delete(p.Unconfirmed, a.ownLineage().key())
 	if state.predecessorLost {
 		p.addUnconfirmed(a.config.Name)
 	}
@@ -130,10 +150,24 @@
 	}
 }
 
-// addUnconfirmed adds a VM, unless it is known to be unconfirmed since an earlier era.
-func (p *pool) addUnconfirmed(vm string) {
-	if _, ok := p.Unconfirmed[vm]; !ok {
-		p.Unconfirmed[vm] = p.Era
+// addUnconfirmed adds a lineage, unless it is known to be unconfirmed since an earlier era. If the pool had been settled
+// without it, all that is unallocated is withheld again.
+func (p *pool) addUnconfirmed(key string) {
+	if _, ok := p.Unconfirmed[key]; ok {
+		return
+	}
+	p.Unconfirmed[key] = p.Era
+	if p.Settled {
+		p.Settled = false
+		p.withholdUnallocated()
+	}
+}
+
+// withholdUnallocated withholds all that is not allocated.
+func (p *pool) withholdUnallocated() {
+	for name, s := range p.Accounts {
+		s.Withheld = s.Prepaid - s.Granted
+		p.Accounts[name] = s
 	}
 }
 
@@ -144,8 +178,8 @@
 		return
 	}
 	p.Era, p.Settled, p.Copied = era, false, copied
-	for vm := range p.Members {
-		p.addUnconfirmed(vm)
+	for vm, m := range p.Members {
+		p.addUnconfirmed(lineageID{vm, m.Lineage}.key())
 	}
 	for name := range prepaid {
 		if _, ok := p.Accounts[name]; !ok {
@@ -154,22 +188,22 @@
 	}
 	for name, s := range p.Accounts {
 		s.Prepaid = max(s.Prepaid, prepaid[name])
-		s.Withheld = s.Prepaid - s.Granted
 		p.Accounts[name] = s
 	}
+	p.withholdUnallocated()
 }
 
 // confirm replaces a holding of the copy by what its daemon holds. An account may have been topped
-// up since the copy, and the others may not know it yet: that is withheld, too. If the pool is
-// settled, the daemon keeps no more than is unallocated, but at least what is committed: spent or
+// up since the copy, and the others may not know it yet: that is withheld, too. If the pool was
+// settled before, the daemon keeps no more than is unallocated, but at least what is committed: spent or
 // reserved.
-func (p *pool) confirm(r *row, name contractor.Account, h holding, committed, prepaid contractor.Tokens) {
+func (p *pool) confirm(r *row, name contractor.Account, h holding, committed, prepaid contractor.Tokens, settled bool) {
 	s, copied := p.Accounts[name], r.Accounts[name].Granted
 	if prepaid > s.Prepaid {
 		s.Withheld += prepaid - s.Prepaid
 		s.Prepaid = prepaid
 	}
-	if excess := s.Granted + h.Granted - copied - s.Prepaid; p.Settled && excess > 0 {
+	if excess := s.Granted + h.Granted - copied - s.Prepaid; settled && excess > 0 {
 		h.Granted = max(h.Granted-excess, min(committed, h.Granted))
 	}
 	s.Withheld -= h.Granted - copied
@@ -188,21 +222,26 @@
 // recordConfirmation ends the confirmation after its acknowledged write. The lock is held.
 func (a *Apportioner) recordConfirmation() {
 	state := &a.state
-	state.era, state.earlierMembers = state.row.Era, nil
+	state.era, state.earlierLineages = state.row.Era, nil
 	a.config.Recorder.Event(recorder.SharesConfirmed, "vm", a.config.Name, "era", state.era, "unconfirmed", len(state.pool.Unconfirmed))
 }
 
 // mergeEra applies the change from base to mine of what is unconfirmed. The members are
 // merged afterwards.
 func (p *pool) mergeEra(base, mine *pool) {
-	for vm := range mine.Unconfirmed {
-		if _, ok := base.Unconfirmed[vm]; !ok && p.Members[vm].Era < p.Era {
-			p.addUnconfirmed(vm)
+	added := slices.DeleteFunc(slices.Collect(maps.Keys(mine.Unconfirmed)), func(key string) bool {
+		_, ok := base.Unconfirmed[key]
+		return ok
+	})
+	confirmed := p.confirmedKeys(len(added))
+	for _, key := range added {
+		if !confirmed[key] {
+			p.addUnconfirmed(key)
 		}
 	}
-	for vm := range base.Unconfirmed {
-		if _, ok := mine.Unconfirmed[vm]; !ok {
-			delete(p.Unconfirmed, vm)
+	for key := range base.Unconfirmed {
+		if _, ok := mine.Unconfirmed[key]; !ok {
+			delete(p.Unconfirmed, key)
 		}
 	}
 	p.Settled = (p.Settled || mine.Settled) && len(p.Unconfirmed) == 0
--- a/apportioner/restore_test.go
+++ b/apportioner/restore_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +30,12 @@
 	// leavingBefore ones leave just before the copy.
 	added, leaving, leavingBefore int
 	transfers, relay              bool
+	// killed daemons register between the copy and the restore, are killed while the store is away and start again
+	// within startWithin of the restore. They spend for killedAfter before that, or for up to 3 s if it is zero.
+	killed                   int
+	killedAfter, startWithin time.Duration
+	// again restores the store from the same copy once more, 3 s later.
+	again bool
 	// topUp is added to the prepaid tokens between the copy and the restore.
 	topUp contractor.Tokens
 	// minSpent is the fraction of the prepaid tokens that can be spent at least. The users owe a
@@ -37,6 +45,8 @@
 
 const owedFraction = 0.97
 
+var drillSeeds = flag.Int("drills", 4, "seeds of each case in which the store is restored")
+
 var restoreCases = []restoreCase{
 	{name: "ample balance", daemons: 7, prepaid: 4_000_000, requestSize: 8_000, minSpent: owedFraction},
 	{name: "balance runs dry", daemons: 7, prepaid: 1_800_000, requestSize: 10_000, minSpent: owedFraction},
@@ -52,6 +62,8 @@
 	{name: "added daemons leave, large requests", daemons: 2, prepaid: 900_000, requestSize: 10_000, leaving: 1},
 	{name: "added daemons leave, relay", daemons: 40, prepaid: 6_000_000, requestSize: 10_000, leaving: 3, relay: true},
 	{name: "daemons leave before the copy", daemons: 5, prepaid: 1_800_000, requestSize: 10_000, leavingBefore: 1, minSpent: owedFraction},
+	{name: "added daemon is killed, 2", daemons: 2, prepaid: 900_000, requestSize: 10_000, killed: 1},
+	{name: "twice from one copy", daemons: 7, prepaid: 1_800_000, requestSize: 10_000, again: true, minSpent: owedFraction},
 	{name: "top-up", daemons: 7, prepaid: 1_200_000, requestSize: 10_000, topUp: 600_000, minSpent: owedFraction},
 	{name: "relay", daemons: 40, prepaid: 6_000_000, requestSize: 10_000, relay: true, transfers: true},
 	{name: "relay and restarts", daemons: 40, prepaid: 6_000_000, requestSize: 10_000, relay: true, transfers: true, before: 3, after: 3},
@@ -61,7 +73,7 @@
 // Daemons that took the copy for the truth, or took over rows of it, spent the same tokens twice.
 func TestRestoredStoreDoesNotGrantTokensTwice(t *testing.T) {
 	for _, c := range restoreCases {
-		for seed := range uint64(4) {
+		for seed := range uint64(*drillSeeds) {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { c.run(t, rand.New(rand.NewPCG(seed, 3))) })
@@ -107,24 +119,39 @@
 	content := f.store.Copy()
 	f.addAndLeave(random, c.leaving, c.requestSize)
 	f.spendFor(random, time.Duration(500+random.IntN(1500))*time.Millisecond, c.requestSize)
-	for range c.added {
+	for range c.added + c.killed {
 		f.add()
 	}
+	killed := slices.Clone(f.daemons[len(f.daemons)-c.killed:])
 	f.prepaid += c.topUp
 	for _, d := range f.daemons {
 		d.SetPrepaidLimits(map[contractor.Account]contractor.Tokens{testAccount: f.prepaid})
 	}
-	f.spendFor(random, time.Duration(500+random.IntN(1500))*time.Millisecond, c.requestSize)
-	f.restart(random, c.before)
-	f.spendFor(random, time.Duration(random.IntN(1000))*time.Millisecond, c.requestSize)
+	if c.killedAfter > 0 {
+		f.spendFor(random, c.killedAfter, c.requestSize)
+	} else {
+		f.spendFor(random, time.Duration(500+random.IntN(1500))*time.Millisecond, c.requestSize)
+		f.restart(random, c.before)
+		f.spendFor(random, time.Duration(random.IntN(1000))*time.Millisecond, c.requestSize)
+	}
 	away := f.daemons[:c.away]
 	for _, d := range away {
 		d.link.partitioned.Store(true)
 	}
 	f.store.SetFaults(emulator.StoreFaults{Outage: true})
 	f.spendFor(random, time.Second, c.requestSize)
+	for _, d := range killed {
+		f.exhaust(d, c.requestSize)
+		d.stop()
+	}
+	f.daemons = f.daemons[:len(f.daemons)-c.killed]
 	f.store.Restore(content)
 	f.store.SetFaults(emulator.StoreFaults{})
+	f.startWithin(random, killed, c.startWithin, c.requestSize)
+	if c.again {
+		f.spendFor(random, 3*time.Second, c.requestSize)
+		f.store.Restore(content)
+	}
 	f.spendFor(random, time.Duration(random.IntN(600))*time.Millisecond, c.requestSize)
 	f.restart(random, c.after)
 	f.spendFor(random, 3*time.Second, c.requestSize)
@@ -146,9 +173,7 @@
 	f.spendFor(random, 3*time.Second, size)
 	leaving := f.daemons[before:]
 	for _, d := range leaving {
-		for range 20 {
-			_ = f.spend(d, size, size) // refused once its share is used up
-		}
+		f.exhaust(d, size)
 		d.stop()
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -158,6 +183,24 @@
 	f.daemons = f.daemons[:before]
 }
 
+// exhaust spends most of what a daemon holds unlocked.
+func (f *fleet) exhaust(d *daemon, size contractor.Tokens) {
+	for range 20 {
+		_ = f.spend(d, size, size) // refused once its share is used up
+	}
+}
+
+// startWithin starts killed daemons again, one after the other within a time, while the others spend.
+func (f *fleet) startWithin(random *rand.Rand, killed []*daemon, within time.Duration, size contractor.Tokens) {
+	for _, d := range killed {
+		if within > 0 {
+			f.spendFor(random, time.Duration(random.Int64N(int64(within)))/time.Duration(len(killed)), size)
+		}
+		f.launch(d)
+		f.daemons = append(f.daemons, d)
+	}
+}
+
 // spendFor spends at random daemons for a time. Refusals are allowed.
 func (f *fleet) spendFor(random *rand.Rand, d time.Duration, size contractor.Tokens) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(random.IntN(80)) * time.Millisecond) {
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -242,7 +242,7 @@
 // join starts spending from the row that this incarnation has taken over. The lock is held.
 func (a *Apportioner) join() {
 	state := &a.state
-	state.joined, state.era = true, state.row.Era
+	state.joined, state.era, state.lineage = true, state.row.Era, state.row.Lineage
 	if len(state.pool.Members) == 0 {
 		state.registerAfter = a.config.Now().Add(rand.N(registerSpread))
 	}
@@ -250,7 +250,7 @@
 		s := a.account(name)
 		s.granted, s.limits, s.spent = h.Granted, h.Limits, h.Spent
 	}
-	a.config.Recorder.Event(recorder.ShareTaken, "vm", a.config.Name, "stage", state.predecessorStage, "revision", state.rowRevision)
+	a.config.Recorder.Event(recorder.ShareTaken, "vm", a.config.Name, "stage", state.predecessorStage, "revision", state.rowRevision, "lineage", state.lineage)
 	a.requestRound()
 }
 
@@ -300,6 +300,7 @@
 		previous, previousRevision := state.pool.Members, state.poolRevision
 		state.pool, state.poolRevision, state.rebalancedAt = p.pool, revision, a.config.Now()
 		state.current = a.adoptMergedPool(merged) && state.current
+		state.earlierLineages = nil // the pool has them
 		a.trackDepartures(previous, previousRevision)
 	}
 	if !state.joined {
