apportioner: a daemon draws from the pool once another one knows it

Cause: a trace of 16 such runs shows an added daemon with a grant whose lineage is in no other daemon's pool. The others read the pool when they rebalance, some 2.5 s apart, and a daemon takes its share in the transaction that registers it.

Change: a member is unseen until one that is seen has written the pool after it had registered. An unseen daemon draws nothing from the pool; requests get tokens by transfers, which their sender accounts for. A daemon alone, and one that takes over the row of a member that was seen, need not wait. Unseen members do not count for one another, or two that are added together would be known only to each other. A change that a relay merges counts only if it was planned from a pool that had the unseen member. While it is unseen a daemon rebalances each second.

TestDaemonDrawsNothingUntilItIsSeen, TestMergedWriteCountsOnlyIfItsDaemonKnewTheUnseenMember, TestDaemonsAreSeenAfterAStartOfAll.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -292,6 +292,10 @@
 	earlierLineages map[string]int64
 	// lineage is that of this incarnation, once it has joined.
 	lineage uint32
+	// seen is true once another daemon knows this lineage as a member. registeredRounds are the members' rounds in the
+	// first pool known to have it.
+	seen             bool
+	registeredRounds map[string]int64
 	// departures are the lineages that have left in the last departureRetention.
 	departures map[lineageID]departure
 	// predecessorLost is true if this incarnation has taken over a row of an earlier era that names no lineage.
--- a/apportioner/lineage.go
+++ b/apportioner/lineage.go
@@ -66,3 +66,60 @@
 	}
 	return keys
 }
+
+// updateSeen determines whether another daemon knows this one as a member, so that it would be withheld for if the store
+// lost all that this one has written. Until then this daemon draws nothing from the pool. One that has seen it counts
+// only if it is seen itself, or several that were added at the same time might know only one another. A daemon alone, and
+// one that takes over the row of a member that was seen, need not wait. The lock is held.
+func (a *Apportioner) updateSeen(p *pool) {
+	state := &a.state
+	own, registered := p.Members[a.config.Name]
+	others := len(p.Members)
+	if registered {
+		others--
+	}
+	// A daemon of an earlier version that writes the pool drops the lineages.
+	registered = registered && (own.Lineage == state.lineage || own.Lineage == 0 && !state.rebalancedAt.IsZero())
+	switch {
+	case others == 0:
+		state.seen = true
+	case !registered:
+		state.seen, state.registeredRounds = false, nil
+	case own.Lineage == state.lineage && !own.Unseen:
+		state.seen = true
+	case state.registeredRounds == nil:
+		state.registeredRounds = make(map[string]int64, len(p.Members))
+		for vm, m := range p.Members {
+			state.registeredRounds[vm] = m.Round
+		}
+	default:
+		state.seen = state.seen || p.seenBy(a.config.Name, state.registeredRounds)
+	}
+}
+
+// seenBy reports whether a seen member other than the VM has written the pool since the members had the rounds given. If
+// no other one is seen, as after a start of all from the rows of a copy, any other one counts.
+func (p *pool) seenBy(vm string, rounds map[string]int64) bool {
+	bySeen, byUnseen, seenExists := false, false, false
+	for other, m := range p.Members {
+		if other == vm {
+			continue
+		}
+		round, ok := rounds[other]
+		wrote := !ok || m.Round != round
+		seenExists = seenExists || !m.Unseen
+		bySeen = bySeen || wrote && !m.Unseen
+		byUnseen = byUnseen || wrote && m.Unseen
+	}
+	return bySeen || byUnseen && !seenExists
+}
+
+// hasUnseenBeside reports whether the pool has unseen members that the base lacks.
+func (p *pool) hasUnseenBeside(base *pool) bool {
+	for vm, m := range p.Members {
+		if m.Unseen && !base.hasMember(lineageID{vm, m.Lineage}) {
+			return true
+		}
+	}
+	return false
+}
--- a/apportioner/lineage_test.go
+++ b/apportioner/lineage_test.go
@@ -19,6 +19,13 @@
 	return d.ownLineage()
 }
 
+// isSeen reports whether the daemon knows that it is seen.
+func (d *daemon) isSeen() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.seen
+}
+
 // An incarnation that started from a row of a copy, or from none, counted as the one that had been known by the VM's
 // name, so what that one had spent was granted again.
 func TestLineageEndsWithARestore(t *testing.T) {
@@ -100,3 +107,91 @@
 	a.updateEra(&read)
 	require.Equal(t, map[string]int64{"edge-2/9": 1, "edge-3/5": 1}, read.Unconfirmed)
 }
+
+// A daemon that no other one knew spent what it had drawn, and after a restore nobody withheld for it.
+func TestDaemonDrawsNothingUntilItIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, 1_200_000)
+		defer f.stopAll()
+		time.Sleep(6 * time.Second)
+		others := f.daemons
+		for _, d := range others {
+			require.Positive(t, d.held(), "a starting fleet draws")
+			d.link.partitioned.Store(true)
+		}
+		time.Sleep(2 * time.Second)
+		f.add()
+		f.add()
+		added := f.daemons[3:]
+		time.Sleep(4 * time.Second)
+		for _, d := range added {
+			require.Zero(t, d.held(), "known only to one that is as new")
+		}
+		for _, d := range others {
+			d.link.partitioned.Store(false)
+		}
+		time.Sleep(10 * time.Second)
+		for _, d := range added {
+			require.Positive(t, d.held())
+		}
+		for _, d := range append(others, added[1]) {
+			d.link.partitioned.Store(true)
+		}
+		time.Sleep(2 * time.Second)
+		added[0].stop()
+		f.launch(added[0])
+		time.Sleep(2 * time.Second)
+		require.True(t, added[0].isSeen(), "the members have its lineage")
+	})
+}
+
+// A relay merges changes that were planned before a daemon registered. Such a change does not show that its daemon knows the new one.
+func TestMergedWriteCountsOnlyIfItsDaemonKnewTheUnseenMember(t *testing.T) {
+	tests := []struct {
+		name  string
+		known bool
+		round int64
+	}{
+		{name: "planned before", round: 1},
+		{name: "planned after", known: true, round: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			base, theirs := poolOf(0, 0, "edge-1"), poolOf(0, 0, "edge-1")
+			theirs.Members["edge-2"] = member{Round: 1, Lineage: 5, Unseen: true}
+			if tt.known {
+				base = theirs.clone()
+			}
+			mine := base.clone()
+			mine.Members["edge-1"] = member{Round: 2}
+			require.NoError(t, theirs.merge(&base, &mine))
+			require.Equal(t, tt.round, theirs.Members["edge-1"].Round)
+		})
+	}
+}
+
+// After a start of all daemons from the rows of a copy none has been seen, and none could draw what is topped up.
+func TestDaemonsAreSeenAfterAStartOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, 600_000)
+		defer f.stopAll()
+		time.Sleep(6 * time.Second)
+		content := f.store.Copy()
+		for _, d := range f.daemons {
+			d.stop()
+		}
+		f.store.Restore(content)
+		for _, d := range f.daemons {
+			f.launch(d)
+		}
+		time.Sleep(5 * time.Second)
+		for _, d := range f.daemons {
+			require.Zero(t, d.held(), d.name)
+			d.SetPrepaidLimits(map[contractor.Account]contractor.Tokens{testAccount: 2 * f.prepaid})
+		}
+		time.Sleep(5 * time.Second)
+		for _, d := range f.daemons {
+			require.Positive(t, d.held(), d.name)
+		}
+	})
+}
--- a/apportioner/merge.go
+++ b/apportioner/merge.go
@@ -140,10 +140,15 @@
 	if resumed {
 		p.withholdUnallocated()
 	}
+	missesUnseen := p.hasUnseenBeside(base)
 	for vm, m := range mine.Members {
-		if m != base.Members[vm] {
-			p.Members[vm] = m
+		if m == base.Members[vm] {
+			continue
+		}
+		if theirs, ok := p.Members[vm]; ok && missesUnseen {
+			m.Round = theirs.Round // it has not seen them, so this write must not count as one that has
 		}
+		p.Members[vm] = m
 	}
 	for vm := range base.Members {
 		if _, kept := mine.Members[vm]; !kept {
--- a/apportioner/plan.go
+++ b/apportioner/plan.go
@@ -37,6 +37,9 @@
 	Era int64 `cbor:"era,omitempty"`
 	// Lineage is that of its row.
 	Lineage uint32 `cbor:"lineage,omitempty"`
+	// Unseen is true until a member that is seen has written the pool after this one had registered. An unseen member
+	// holds nothing from the pool.
+	Unseen bool `cbor:"unseen,omitempty"`
 }
 
 // sums are the totals of one account over all rows, including rows that are gone.
@@ -188,7 +191,9 @@
 	allocatedFraction float64
 	// registering is true if this is the daemon's first round in a fleet that has no demand yet.
 	registering bool
-	leaving     bool
+	// unseen is true if the daemon must not draw from the pool, see pool.seenBy.
+	unseen  bool
+	leaving bool
 	// restarted is true if the daemon has taken over the row of an earlier incarnation recently.
 	restarted bool
 }
@@ -206,6 +211,9 @@
 		target = min(target, max(held, holderShareTokens))
 	}
 	want := max(target, required)
+	if q.unseen {
+		want = min(want, held)
+	}
 	if held < want && (held < required || float64(want-held) > shareTolerance*float64(want)) {
 		return q.Granted + q.drawFromPool(s, want-held, required-held)
 	}
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -119,7 +119,7 @@
 
 // rebalanceIntervalNow is the time between two periodic rounds that rebalance. The lock is held.
 func (a *Apportioner) rebalanceIntervalNow() time.Duration {
-	if a.state.roundNumber < joinRebalances {
+	if a.state.roundNumber < joinRebalances || !a.state.seen {
 		return joinRebalanceInterval
 	}
 	return max(rebalanceInterval, time.Duration(len(a.state.pool.Members))*rebalanceIntervalPerMember)
@@ -132,9 +132,10 @@
 	if state.leaving {
 		delete(p.pool.Members, a.config.Name)
 	} else {
+		a.updateSeen(&p.pool)
 		p.pool.Members[a.config.Name] = member{
 			Round: state.roundNumber, Address: a.config.Address.String(), LinkBandwidth: float32(a.config.LinkBandwidth),
-			Era: state.storeEra, Lineage: state.lineage,
+			Era: state.storeEra, Lineage: state.lineage, Unseen: !state.seen,
 		}
 	}
 }
@@ -160,7 +161,7 @@
 			holding: next, reserved: s.reserved, awaited: s.awaited, demandRate: s.currentDemand(now),
 			// Zero for an account that no longer has a limit, which returns its share.
 			prepaid: a.prepaid[name], members: a.plannedMemberCount(p), allocatedFraction: a.config.AllocatedFraction, leaving: a.state.leaving,
-			registering:     registering,
+			registering: registering, unseen: !a.state.seen,
 			restarted:       now.Before(a.state.restartedUntil),
 			unspentFraction: a.unspentFraction(name), openTime: a.leaseTTL(stageOpen), longRequest: a.longRequestCost(),
 		}
