apportioner: a response of before a restore is not taken for the copy

What it would cost: more than is prepaid.

Cause: when the restore becomes known, row and pool can be of different eras. A conflict of a round that does not rebalance shows the row of the copy only; the pool is still that of before. A response of before that arrives after another call has learnt of the restore shows the last pool of before. Either was taken for the copy: its last members were not remembered, and a change planned from it replaces the pool of the new era where the store, which compares numbers only, has given out the same number again (trace: the pool of era 3 goes from "copied 181" to "copied 199").

Change: row and pool are read again while one of them is of an earlier era, and the members of such a pool are remembered.

Test: TestResponseOfBeforeARestoreIsNotTheCopy fails without either half.

--- a/apportioner/lineage_test.go
+++ b/apportioner/lineage_test.go
@@ -108,6 +108,35 @@
 	require.Equal(t, map[string]int64{"edge-2/9": 1, "edge-3/5": 1}, read.Unconfirmed)
 }
 
+// A response that was on its way when the restore became known shows the last pool of before. Its members were forgotten, and
+// a change that was planned from it could replace the pool of the copy.
+func TestResponseOfBeforeARestoreIsNotTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 900_000)
+		defer f.stopAll()
+		time.Sleep(6 * time.Second)
+		content, d := f.store.Copy(), f.daemons[0]
+		f.add()
+		time.Sleep(2 * time.Second)
+		for _, x := range f.daemons {
+			x.stop()
+		}
+		time.Sleep(time.Second)
+		added, late := f.daemons[2].currentLineage().key(), f.store.Peek(poolKey)
+		f.store.Restore(content)
+		require.NoError(t, d.adopt(f.store.Peek(rowPrefix+d.name)))
+		require.False(t, d.isCurrent(), "the pool is of before")
+		require.NoError(t, d.adopt(late))
+		require.False(t, d.isCurrent(), "the pool is of before")
+		d.RunRound(t.Context())
+		p, err := decode[pool](poolKey, f.store.Peek(poolKey).Value)
+		require.NoError(t, err)
+		require.Equal(t, int64(1), p.Era)
+		require.Contains(t, p.Unconfirmed, added)
+		require.NotContains(t, p.Members, "edge-2")
+	})
+}
+
 // A daemon that no other one knew spent what it had drawn, and after a restore nobody withheld for it.
 func TestDaemonDrawsNothingUntilItIsSeen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/apportioner/restore.go
+++ b/apportioner/restore.go
@@ -71,6 +71,11 @@
 	}
 }
 
+// ofEarlierEra reports whether an entry was read before the store was restored.
+func (a *Apportioner) ofEarlierEra(r contractor.Revision) bool {
+	return r != 0 && persister.EraOf(r) < a.state.storeEra
+}
+
 // rememberLineage records a lineage of an earlier era. The number is that of the pool's revision from which on it shows that
 // the lineage has left. The lock is held.
 func (a *Apportioner) rememberLineage(key string, number int64) {
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -16,6 +16,9 @@
 // pool at the same time.
 const maxTries = 6
 
+// maxReads is how often a round reads row and pool, if the store is restored in between.
+const maxReads = 2
+
 // errReplaced means that a later incarnation of this daemon has taken over its row.
 var errReplaced = errors.New("a later incarnation of this daemon has taken over its shares")
 
@@ -152,14 +155,30 @@
 	a.state.rebalanceAfter = a.config.Now().Add(mean/2 + rand.N(mean))
 }
 
-// refresh reads row and pool when the known ones may be outdated.
+// refresh reads row and pool when the known ones may be outdated. If the store is restored meanwhile, it reads them again.
 func (a *Apportioner) refresh(ctx context.Context) error {
-	a.mu.Lock()
-	current := a.state.current
-	a.mu.Unlock()
-	if current {
-		return nil
+	for range maxReads {
+		if a.isCurrent() {
+			return nil
+		}
+		if err := a.read(ctx); err != nil {
+			return err
+		}
+	}
+	if !a.isCurrent() {
+		return fmt.Errorf("read row and pool: %w", persister.ErrRestored)
 	}
+	return nil
+}
+
+func (a *Apportioner) isCurrent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.current
+}
+
+// read reads row and pool.
+func (a *Apportioner) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	rowEntry, err := a.config.Store.Get(ctx, rowPrefix+a.config.Name)
@@ -192,6 +211,9 @@
 			state.pool, state.poolRevision = p.clone(), e.Revision
 			a.trackDepartures(previous, previousRevision)
 			a.trackMemberRounds()
+			if a.ofEarlierEra(e.Revision) {
+				a.rememberPool() // the response was on its way when the restore became known
+			}
 			continue
 		}
 		if e.Key != rowPrefix+a.config.Name {
@@ -207,7 +229,9 @@
 		a.stopSpending()
 		return errReplaced
 	}
-	state.current = true
+	// A response may have only one of them. Planned from the other one of before a restore, a change would replace what the
+	// copy says, if the store has given out the number of its revision again.
+	state.current = !a.ofEarlierEra(state.rowRevision) && !a.ofEarlierEra(state.poolRevision)
 	if state.row.Incarnation != a.config.Incarnation {
 		return nil
 	}
