apportioner, archivist: what is wired between them is called without a lock

Apportioner.propose and commit held the lock of the shares and called Attach and Written, which take that of the archivist; Archivist.Find held its own and called Members, which takes that of the shares.

Change: Attach is called before the plan, Written after the transaction and before its result is recorded, Members before Find takes the lock. The comment where the parts are wired says which call nothing under their locks, and why.

Tests: TestAttachmentsAreHandledWithoutTheLock and TestMembersIsCalledWithoutTheLock fail at once before.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -228,8 +228,8 @@
 	// means that there are no transfers.
 	RequestTransfer func(ctx context.Context, account contractor.Account, tokens contractor.Tokens) contractor.Tokens
 	// Attach returns what the next round writes besides balances. relayed is true in a fleet with a relay, which combines the
-	// entries of several rounds in one call, so that each entry may cost a part of one. Attach must not call the
-	// Apportioner. Nil means nothing.
+	// entries of several rounds in one call, so that each entry may cost a part of one. It is called without a lock of
+	// the Apportioner, as is Written. Nil means nothing.
 	Attach   func(relayed bool) Attachment
 	Recorder *recorder.Recorder
 	// BootClock reads the clock since boot, which all incarnations on this VM share. New
--- a/apportioner/attach_test.go
+++ b/apportioner/attach_test.go
@@ -50,6 +50,31 @@
 	}}
 }
 
+// Attach and Written were called under the lock and took that of the archivist, which called the Apportioner under its own: a
+// daemon hung for good.
+func TestAttachmentsAreHandledWithoutTheLock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 900_000)
+		d := f.daemons[0]
+		time.Sleep(3 * time.Second)
+		d.stop()
+		time.Sleep(time.Second)
+		attached, written := 0, 0
+		check := func(calls *int) {
+			*calls++
+			require.True(t, d.mu.TryLock(), "nothing else runs")
+			d.mu.Unlock()
+		}
+		d.config.Attach = func(bool) Attachment {
+			check(&attached)
+			return Attachment{Written: func() { check(&written) }}
+		}
+		d.RunRound(t.Context())
+		require.Equal(t, 1, attached)
+		require.Equal(t, 1, written)
+	})
+}
+
 // What is attached to rounds must be in the store soon after it was added, whatever conflicts, lost responses and outages come
 // between, and only in transactions of rounds.
 func TestAttachmentsAreWrittenWithRounds(t *testing.T) {
--- a/apportioner/propose.go
+++ b/apportioner/propose.go
@@ -23,15 +23,27 @@
 	txn        persister.Txn
 }
 
+// attach returns what the next round writes besides balances. The lock is not held: Attach takes that of another part, which
+// calls the Apportioner under its own.
+func (a *Apportioner) attach() Attachment {
+	if a.config.Attach == nil {
+		return Attachment{}
+	}
+	a.mu.Lock()
+	relayed := a.hasRelay()
+	a.mu.Unlock()
+	return a.config.Attach(relayed)
+}
+
 // propose plans a round. Tokens that the plan returns are not spent from here on.
-func (a *Apportioner) propose() (*proposal, error) {
+func (a *Apportioner) propose(attached Attachment) (*proposal, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// The boot clock is read first: a delay between the two readings then shortens the stays
 	// that the row states, and never lengthens them.
 	reading, now := a.readBootClock(), a.config.Now()
 	state := &a.state
-	p := &proposal{row: state.row.clone(), rebalances: a.rebalanceDue(now)}
+	p := &proposal{row: state.row.clone(), rebalances: a.rebalanceDue(now), attached: attached}
 	switch {
 	case a.unconfirmed():
 		a.planConfirmation(p)
@@ -54,10 +66,7 @@
 	if err := p.encode(a.config.Name, state); err != nil {
 		return nil, err
 	}
-	if a.config.Attach != nil {
-		p.attached = a.config.Attach(a.hasRelay())
-		p.txn.Puts, p.txn.Deletes = append(p.txn.Puts, p.attached.Puts...), p.attached.Deletes
-	}
+	p.txn.Puts, p.txn.Deletes = append(p.txn.Puts, attached.Puts...), attached.Deletes
 	for name, h := range p.row.Accounts {
 		a.account(name).lowerTo(h)
 	}
--- a/apportioner/restart_test.go
+++ b/apportioner/restart_test.go
@@ -212,7 +212,7 @@
 			time.Sleep(2 * time.Second)
 			require.NoError(t, d.renewLeases(t.Context()))
 		}
-		p, err := d.propose()
+		p, err := d.propose(d.attach())
 		require.NoError(t, err)
 		require.NoError(t, p.txn.Validate())
 	})
--- a/apportioner/round.go
+++ b/apportioner/round.go
@@ -107,7 +107,7 @@
 		if err := a.renewLeases(ctx); err != nil {
 			return err
 		}
-		p, err := a.propose()
+		p, err := a.propose(a.attach())
 		if err != nil {
 			return err
 		}
@@ -306,6 +306,9 @@
 		}
 		return err
 	}
+	if err == nil && p.attached.Written != nil {
+		p.attached.Written()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	state := &a.state
@@ -315,9 +318,6 @@
 	if err != nil {
 		return err
 	}
-	if p.attached.Written != nil {
-		p.attached.Written()
-	}
 	state.row, state.rowRevision = p.row, revision
 	state.current = persister.EraOf(revision) <= state.storeEra
 	if p.rebalances {
--- a/archivist/archivist_test.go
+++ b/archivist/archivist_test.go
@@ -405,3 +405,24 @@
 	fmt.Println(other.Find(context.Background(), stream))
 	// Output: v1.2 true <nil>
 }
+
+// Members was called under the lock and took that of the Apportioner, which called the Archivist under its own: a daemon hung
+// for good.
+func TestMembersIsCalledWithoutTheLock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var a *Archivist
+		calls := 0
+		a = New(Config{Store: newStore(), Name: "edge-1", Incarnation: "1", Members: func() int {
+			calls++
+			require.True(t, a.mu.TryLock(), "nothing else runs")
+			a.mu.Unlock()
+			return 7
+		}})
+		for range 2 {
+			_, ok, err := a.Find(t.Context(), streamOf(1))
+			require.NoError(t, err)
+			require.False(t, ok)
+		}
+		require.Positive(t, calls)
+	})
+}
--- a/archivist/find.go
+++ b/archivist/find.go
@@ -141,13 +141,14 @@
 	defer cancel()
 	calledAt := a.config.Now()
 	for {
+		interval := a.readInterval()
 		a.mu.Lock()
 		software, ok = a.index.find(s, calledAt)
 		if ok {
 			a.mu.Unlock()
 			return software, true, nil
 		}
-		r := a.joinRead(calledAt)
+		r := a.joinRead(calledAt, interval)
 		a.mu.Unlock()
 		if r == nil {
 			return "", false, nil
@@ -166,9 +167,15 @@
 	}
 }
 
-// joinRead returns the read in flight or the next one. It returns nil if one that began after a time has succeeded. The lock is
-// held.
-func (a *Archivist) joinRead(after time.Time) *read {
+// readInterval is the time between the begins of two reads. The lock is not held: Members takes that of another part, which
+// calls the Archivist.
+func (a *Archivist) readInterval() time.Duration {
+	return readInterval * time.Duration(max(a.config.Members(), fullRateFleetSize)) / fullRateFleetSize
+}
+
+// joinRead returns the read in flight or the next one, which begins an interval after the last one. It returns nil if one
+// that began after a time has succeeded. The lock is held.
+func (a *Archivist) joinRead(after time.Time, interval time.Duration) *read {
 	if !a.index.readAt.Before(after) {
 		return nil
 	}
@@ -177,7 +184,6 @@
 	if a.read != nil {
 		select {
 		case <-a.read.done:
-			interval := readInterval * time.Duration(max(a.config.Members(), fullRateFleetSize)) / fullRateFleetSize
 			if next := a.read.begunAt.Add(interval); next.After(now) {
 				begin = next
 			}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -211,6 +211,10 @@
 }
 
 // New returns a daemon. Run starts it.
+//
+// The parts are wired by functions in their configurations, which lead to other parts. Two parts that call each other while
+// they hold their locks can wait for each other for ever. The shares are called by many parts, by some under their locks
+// (throttler), so they call nothing that is wired here while they hold theirs; nor does the archivist, but for Era.
 func New(c Config) *Daemon {
 	if c.Listen == nil {
 		c.Listen = listen
