launcher: a draining server ends waits for requests, not idle connections

Cause: the server whose limits are no longer in force drained by SetKeepAlivesEnabled(false), which closes what net/http counts as idle: a connection is idle until the head of a request has been read and parsed. The request ran, and its connection was gone. A planned stop takes the same path, once, and so does the port for delegated requests. Ruled out: Shutdown (no connection is open by then), the limit itself.

Change: requestConn knows whether a byte of the next request has been read, also one read while the last response is written. A drain ends a read that waits for the first byte; if the byte comes first, the request is answered and its response closes the connection.

--- a/launcher/delegate.go
+++ b/launcher/delegate.go
@@ -52,7 +52,7 @@
 	}, d.link.Listener(listener))
 	d.delegateServer.Store(server)
 	defer context.AfterFunc(ctx, func() { server.Close() })()
-	d.serve(server.Server, server.listener)
+	d.serve(server.Server, server.connectionListener())
 	return nil
 }
 
--- a/launcher/drain.go
+++ b/launcher/drain.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -36,27 +39,79 @@
 const connectionCheckInterval = 20 * time.Millisecond
 
 // drainableServer is a server that accepts no new connections while it drains, and still responds to what arrives on
-// open ones. http.Server.Shutdown would close a connection whose request it has just read, and the caller could
-// not know that the request does not run.
+// open ones. http.Server.Shutdown and SetKeepAlivesEnabled would close a connection whose request it is reading or has just
+// read, and the caller could not know whether the request runs.
 type drainableServer struct {
 	*http.Server
 	listener net.Listener
+	draining atomic.Bool
 	open     atomic.Int64 // connections
+
+	mu          sync.Mutex
+	connections map[*requestConn]struct{}
 }
 
 func newDrainableServer(server *http.Server, listener net.Listener) *drainableServer {
-	s := &drainableServer{Server: server, listener: listener}
-	server.ConnState = func(_ net.Conn, state http.ConnState) {
-		switch state {
-		case http.StateNew:
-			s.open.Add(1)
-		case http.StateClosed, http.StateHijacked:
-			s.open.Add(-1)
+	s := &drainableServer{Server: server, listener: listener, connections: make(map[*requestConn]struct{})}
+	server.ConnState = s.recordState
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
 		}
-	}
+		next.ServeHTTP(w, r)
+	})
 	return s
 }
 
+// connectionListener returns the listener from which the server accepts connections.
+func (s *drainableServer) connectionListener() net.Listener { return requestListener{s.listener} }
+
+// requestListener is a listener whose connections are requestConns.
+type requestListener struct{ net.Listener }
+
+// Accept waits for the next connection.
+func (l requestListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newRequestConn(conn, time.Now()), nil
+}
+
+// recordState records that the state of a connection has changed.
+func (s *drainableServer) recordState(conn net.Conn, state http.ConnState) {
+	c := conn.(*requestConn)
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+		s.mu.Lock()
+		s.connections[c] = struct{}{}
+		s.mu.Unlock()
+	case http.StateActive:
+		c.beginRequest()
+	case http.StateIdle:
+		c.awaitRequest()
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+		s.mu.Lock()
+		delete(s.connections, c)
+		s.mu.Unlock()
+	}
+}
+
+// drainConnections ends the wait for requests on all connections.
+func (s *drainableServer) drainConnections() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	connections := slices.Collect(maps.Keys(s.connections))
+	s.mu.Unlock()
+	for _, c := range connections {
+		// An error means that the connection is closed already.
+		_ = c.drain()
+	}
+}
+
 // drainer is what a stopping daemon shuts down.
 type drainer interface {
 	shutDown(ctx context.Context) error
@@ -71,7 +126,7 @@
 	ticker := time.NewTicker(connectionCheckInterval)
 	defer ticker.Stop()
 	for s.open.Load() > 0 && ctx.Err() == nil {
-		s.SetKeepAlivesEnabled(false) // closes idle connections, and the others after their next response
+		s.drainConnections()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/launcher/frontend.go
+++ b/launcher/frontend.go
@@ -56,7 +56,7 @@
 	handoff := &handoffListener{address: f.config.Listener.Addr(), connections: make(chan net.Conn), closed: make(chan struct{})}
 	server := newDrainableServer(f.config.NewServer(l), handoff)
 	go func() {
-		if err := server.Serve(handoff); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(server.connectionListener()); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			f.config.Recorder.Event(recorder.DaemonFailed, "address", handoff.address, "err", err)
 		}
 	}()
--- a/launcher/frontend_test.go
+++ b/launcher/frontend_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -149,3 +150,60 @@
 	require.NoError(t, <-stopped)
 	require.True(t, errors.Is(f.frontend.config.Listener.Close(), net.ErrClosed))
 }
+
+// Guards against servers and connections that a storm of changes leaves behind. Idle connections end, whatever the number of
+// changes, and the last server alone stays.
+func TestFrontendKeepsNothingOfEarlierLimits(t *testing.T) {
+	const changes, connections = 200, 20
+	limits := resolver.Limits{IdleTimeout: time.Minute}
+	f := newFrontendFixture(t, limits)
+	goroutines := runtime.NumGoroutine()
+	for range changes {
+		var idle []*bufio.Reader
+		for range connections {
+			conn, reader := f.dial()
+			status, _ := f.request(conn, reader, 10)
+			require.Equal(t, http.StatusOK, status)
+			idle = append(idle, reader)
+		}
+		limits.IdleTimeout++
+		f.set(limits)
+		for _, reader := range idle {
+			_, err := reader.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+		}
+	}
+	require.Eventually(t, func() bool {
+		f.frontend.mu.Lock()
+		defer f.frontend.mu.Unlock()
+		return len(f.frontend.retired) == 0 && f.frontend.current.open.Load() == 0
+	}, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return runtime.NumGoroutine() <= goroutines }, time.Minute, time.Millisecond)
+}
+
+// BenchmarkFrontendRequests measures requests on kept connections.
+func BenchmarkFrontendRequests(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	f := newFrontend(frontendConfig{
+		Listener: listener, Limits: func() resolver.Limits { return resolver.Limits{IdleTimeout: time.Minute} },
+		NewServer: func(l resolver.Limits) *http.Server {
+			return &http.Server{IdleTimeout: l.IdleTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
+		},
+	})
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(b, err)
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for p.Next() {
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			require.NoError(b, err)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(b, err)
+			require.NoError(b, response.Body.Close())
+		}
+	})
+	require.NoError(b, f.shutDown(context.Background()))
+}
--- a/launcher/reset.go
+++ b/launcher/reset.go
@@ -14,6 +14,9 @@
 type connectionKey struct{}
 
 func withConnection(ctx context.Context, c net.Conn) context.Context {
+	if r, ok := c.(*requestConn); ok {
+		c = r.Conn
+	}
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
