--- a/cmd/laburnumline/process_test.go
+++ b/cmd/laburnumline/process_test.go
@@ -39,7 +39,7 @@
 
 // processFixture is an emulated store and upstream, and the settings of a daemon that runs as a process of its own.
 type processFixture struct {
-	t        *testing.T
+	t        testing.TB
 	store    *emulator.Store
 	ip       string
 	settings string
@@ -65,7 +65,7 @@
 	return b.buffer.String()
 }
 
-func newProcessFixture(t *testing.T, events int, interval time.Duration) *processFixture {
+func newProcessFixture(t testing.TB, events int, interval time.Duration) *processFixture {
 	t.Helper()
 	f := &processFixture{
 		t: t, store: emulator.NewStore(emulator.StoreConfig{}),
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -26,7 +26,7 @@
 }
 
 // startUpstream calls serve for each connection, with the number of the connection.
-func startUpstream(t *testing.T, serve func(n int, c net.Conn)) *fakeUpstream {
+func startUpstream(t testing.TB, serve func(n int, c net.Conn)) *fakeUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
