framer, connector, dispatcher: a reset that only the writer is told of cuts the answer

Callers got a part of an answer as a whole one (MIXED): an upstream answered a long upload at once with a 200 without a length, sent a part of its body, and reset the connection while the upload was being written.

Cause: a socket reports a reset or a time-out once, to whichever of its writer and its reader asks first. If that is the writer of the request, the reader of the answer sees an orderly end, and an answer with neither a length nor chunks is whole then. The writer's error was kept and asked for only when a connection is reused. Ruled out: framing (the body of a stated length or in chunks was refused), uploads that fit into the sockets (the writer has ended, the reader is told), the content check (plain text has none; a stream that is cut between two events passes it).

Change: framer.Conn keeps what either direction of a connection was told, and its Read returns io.EOF only at an orderly end. It asks the socket (TCP_INFO): while this side is open, the other one has ended in order; the end counts as a received byte, which shows it also when a reset or a time-out has followed; else the write in flight, which a closed socket ends at once, has the verdict. EPIPE is no failure: it is what a reset after an orderly end gives. framer.Transport does that for readers that use net/http: dispatcher, delegator, relayer, both clients of stores, the list of VMs, the clients of operators, and the callers of demonstrator and soaker.

Nothing waits for an upstream that has stopped reading.

--- a/administrator/client.go
+++ b/administrator/client.go
@@ -17,6 +17,7 @@
 	"laburnumline/biller"
 	"laburnumline/contractor"
 	"laburnumline/deduplicator"
+	"laburnumline/framer"
 )
 
 const (
@@ -38,7 +39,7 @@
 
 // NewClient returns a Client for the API at a base URL, with an operator's key.
 func NewClient(base, key string) *Client {
-	return &Client{HTTP: &http.Client{Timeout: clientTimeout}, base: base, key: key}
+	return &Client{HTTP: framer.NewClient(clientTimeout), base: base, key: key}
 }
 
 // apiCall describes one call of the API.
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -33,6 +33,7 @@
 	"laburnumline/deduplicator"
 	"laburnumline/dispatcher"
 	"laburnumline/executor"
+	"laburnumline/framer"
 	"laburnumline/limiter"
 	"laburnumline/messenger"
 	"laburnumline/observer"
@@ -227,7 +228,7 @@
 		Self: d.self,
 		Lister: &tracker.HTTPLister{
 			URL:    d.settings.VMList.URL.URL,
-			Client: &http.Client{Timeout: d.settings.VMList.Period},
+			Client: framer.NewClient(d.settings.VMList.Period),
 			Port:   d.self.Address.Port(),
 		},
 		Caller:           d.caller,
--- a/cmd/laburnumline/client.go
+++ b/cmd/laburnumline/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"laburnumline/administrator"
+	"laburnumline/framer"
 )
 
 // clientOptions are the options of commands that call the administration API.
@@ -41,7 +42,7 @@
 		return nil, usageErrorf("read operator's key: %w", err)
 	}
 	client := administrator.NewClient(strings.TrimSuffix(o.Server, "/"), strings.TrimSpace(string(key)))
-	client.HTTP = &http.Client{Timeout: o.Timeout}
+	client.HTTP = framer.NewClient(o.Timeout)
 	if o.CA == "" {
 		return client, nil
 	}
@@ -53,7 +54,7 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, usageErrorf("%s has no certificate in PEM", o.CA)
 	}
-	client.HTTP.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	client.HTTP.Transport = framer.NewTransport(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}})
 	return client, nil
 }
 
--- a/cmd/laburnumline/explain.go
+++ b/cmd/laburnumline/explain.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"laburnumline/framer"
 	"laburnumline/launcher"
 )
 
@@ -59,7 +60,7 @@
 	if cmd.Key != "" {
 		request.Header.Set("Authorization", "Bearer "+cmd.Key)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}} // no proxy: it would see the key
+	client := &http.Client{Transport: framer.NewTransport(&http.Transport{DisableKeepAlives: true})} // no proxy: it would see the key
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, unreachableError{fmt.Errorf("ask daemon: %w", err)}
--- a/cmd/laburnumline/process_test.go
+++ b/cmd/laburnumline/process_test.go
@@ -135,7 +135,12 @@
 
 // do sends a request.
 func (f *processFixture) do(ctx context.Context, id, path string, deadline time.Duration) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.ip+":18000"+path+"1", strings.NewReader("body"))
+	return f.upload(ctx, id, path, "body", deadline)
+}
+
+// upload sends a request with a body.
+func (f *processFixture) upload(ctx context.Context, id, path, body string, deadline time.Duration) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.ip+":18000"+path+"1", strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"laburnumline/balancer"
+	"laburnumline/framer"
 	"laburnumline/recorder"
 	"laburnumline/throttler"
 )
@@ -128,7 +129,7 @@
 
 // connection is an open connection.
 type connection struct {
-	net.Conn
+	framer.Conn
 	reader *bufio.Reader
 	// expires is the time from which an idle connection is not reused.
 	expires     time.Time
@@ -142,7 +143,8 @@
 }
 
 func newConnection(raw net.Conn) *connection {
-	c := &connection{Conn: raw, idleTimeout: defaultIdleTimeout}
+	c := &connection{idleTimeout: defaultIdleTimeout}
+	c.Wrap(raw)
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -72,7 +72,7 @@
 
 func newPool() *Pool {
 	return New(Config{
-		Dial:         Dialer(time.Second, time.Second),
+		Dial:         Dialer(time.Second, silenceTimeout),
 		ReadMetadata: func(h http.Header) Metadata { return Metadata{ID: h.Get("Id")} },
 	})
 }
--- a/connector/response.go
+++ b/connector/response.go
@@ -25,7 +25,7 @@
 	// Length is the length of the body in bytes, or -1 if the header does not state it.
 	Length int64
 	// Framing is how the end of the body is marked. A body that ends with its connection
-	// may be truncated although Body has returned io.EOF.
+	// may be truncated although Body has returned io.EOF: an upstream that crashes may end it in order.
 	Framing framer.Framing
 	// Body returns io.EOF only at the end of the body that Framing marks.
 	Body io.Reader
@@ -58,7 +58,7 @@
 	go func() {
 		defer close(r.writeDone)
 		buffers := net.Buffers{head, call.Body}
-		n, err := buffers.WriteTo(r.connection.Conn)
+		n, err := buffers.WriteTo(&r.connection.Conn)
 		r.bytesWritten.Add(n)
 		r.writeErr = err
 	}()
@@ -204,7 +204,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
+	raw, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -35,6 +35,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"laburnumline/framer"
 	"laburnumline/recorder"
 )
 
@@ -135,10 +136,10 @@
 		c.Signed = func(http.Header) bool { return true }
 	}
 	return &Client{config: c, skipped: make(map[netip.AddrPort]time.Time), client: &http.Client{
-		Transport: &http.Transport{
+		Transport: framer.NewTransport(&http.Transport{
 			DialContext: c.Dial, DisableCompression: true, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}),
 		// A redirect is the upstream's response, which the caller gets as it is.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/demonstrator/callers.go
+++ b/demonstrator/callers.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"laburnumline/framer"
 )
 
 const (
@@ -55,7 +57,7 @@
 
 func newCallers(addresses []string) *callers {
 	return &callers{
-		client:    &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxConcurrentRequests}},
+		client:    &http.Client{Timeout: callTimeout, Transport: framer.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxConcurrentRequests})},
 		addresses: addresses,
 		tally:     tally{Refused: make(map[string]int)},
 	}
--- a/dispatcher/conn.go
+++ b/dispatcher/conn.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/go-faster/errors"
+
+	"laburnumline/framer"
 )
 
 // countingConn counts the bytes written to the kernel. The count distinguishes
@@ -23,6 +26,18 @@
 	return n, err
 }
 
+// SyscallConn gives access to the underlying connection, whose state framer.Conn reads.
+func (c *countingConn) SyscallConn() (syscall.RawConn, error) {
+	underlying, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errNoDescriptor
+	}
+	return underlying.SyscallConn()
+}
+
+// errNoDescriptor means that the underlying connection has no file descriptor.
+var errNoDescriptor = errors.New("connection has no file descriptor")
+
 func countingDial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, address)
@@ -53,8 +68,13 @@
 	t.connected.Store(true)
 }
 
+// underlyingConn returns the connection below those that wrap it, such as TLS.
 func underlyingConn(conn net.Conn) *countingConn {
-	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+	for {
+		wrapped, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		conn = wrapped.NetConn()
 	}
 	counting, _ := conn.(*countingConn)
@@ -79,7 +99,7 @@
 }
 
 // send makes one round trip. It follows no redirects and does not retry.
-func (d *Dispatcher) send(transport *http.Transport, req *http.Request, upstream string) (*http.Response, error) {
+func (d *Dispatcher) send(transport *framer.Transport, req *http.Request, upstream string) (*http.Response, error) {
 	var trace sendTrace
 	ctx := req.Context()
 	resp, err := transport.RoundTrip(req.WithContext(trace.attach(ctx)))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -37,6 +37,7 @@
 	"net/http"
 	"time"
 
+	"laburnumline/framer"
 	"laburnumline/recorder"
 	"laburnumline/throttler"
 )
@@ -104,11 +105,11 @@
 type Dispatcher struct {
 	config Config
 	// pooled reuses connections.
-	pooled *http.Transport
+	pooled *framer.Transport
 	// unpooled opens a new connection for each call. An upstream may close an
 	// idle connection at the moment when a call is sent on it, which leaves the
 	// call's outcome unknown.
-	unpooled *http.Transport
+	unpooled *framer.Transport
 }
 
 // New returns a dispatcher.
@@ -125,9 +126,9 @@
 
 // transport returns a transport for HTTP/1.1 only: a custom dial function
 // disables HTTP/2.
-func (c *Config) transport(newConnections bool) *http.Transport {
+func (c *Config) transport(newConnections bool) *framer.Transport {
 	dialer := &net.Dialer{Timeout: c.DialTimeout}
-	return &http.Transport{
+	return framer.NewTransport(&http.Transport{
 		DialContext:            countingDial(dialer),
 		TLSClientConfig:        c.TLS,
 		TLSHandshakeTimeout:    c.DialTimeout,
@@ -136,10 +137,10 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableKeepAlives:      newConnections,
-	}
+	})
 }
 
-func (d *Dispatcher) transportFor(newConnection bool) *http.Transport {
+func (d *Dispatcher) transportFor(newConnection bool) *framer.Transport {
 	if newConnection {
 		return d.unpooled
 	}
--- /dev/null
+++ b/emulator/peer.go
@@ -0,0 +1,175 @@
+package emulator
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// PeerEnd is how a Peer ends a connection after its answer.
+type PeerEnd uint8
+
+const (
+	// PeerKeeps leaves the connection open for the next request.
+	PeerKeeps PeerEnd = iota
+	// PeerCloses ends its sending direction in order and reads what the other side still sends.
+	PeerCloses
+	// PeerResets resets the connection.
+	PeerResets
+	// PeerClosesUnread closes the connection when there are bytes that it has not read, which resets it.
+	PeerClosesUnread
+	// PeerClosesThenResets ends its sending direction in order and resets the connection afterwards.
+	PeerClosesThenResets
+	// PeerClosesAndStalls ends its sending direction in order and reads nothing until the Peer is closed.
+	PeerClosesAndStalls
+	// PeerStalls leaves the connection open, and reads and writes nothing until the Peer is closed.
+	PeerStalls
+)
+
+// PeerAnswer is what a Peer sends for a request.
+type PeerAnswer struct {
+	// Bytes are sent as they are, whether or not they are an HTTP response.
+	Bytes string
+	// Early sends them when the head of the request has arrived. Otherwise its body is read first.
+	Early bool
+	// Delay is the time from the last byte to End.
+	Delay time.Duration
+	End   PeerEnd
+}
+
+// peerResetDelay is the time between an orderly end and a reset. The end arrives first.
+const peerResetDelay = 5 * time.Millisecond
+
+// Peer is a server that may be faulty: it answers requests with any bytes and ends its connections in any way.
+type Peer struct {
+	listener net.Listener
+	answer   func(*http.Request) PeerAnswer
+	closed   chan struct{}
+
+	mu          sync.Mutex
+	requests    int
+	connections map[net.Conn]bool
+	serving     sync.WaitGroup
+}
+
+// StartPeer starts a Peer on a loopback address.
+func StartPeer(answer func(*http.Request) PeerAnswer) (*Peer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("start peer: %w", err)
+	}
+	p := &Peer{listener: l, answer: answer, closed: make(chan struct{}), connections: make(map[net.Conn]bool)}
+	p.serving.Go(p.accept)
+	return p, nil
+}
+
+// Address returns the address on which the Peer listens.
+func (p *Peer) Address() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Requests returns the number of requests whose head has arrived.
+func (p *Peer) Requests() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.requests
+}
+
+// Close closes the listener and all connections and waits until they are served.
+func (p *Peer) Close() error {
+	err := p.listener.Close()
+	close(p.closed)
+	p.mu.Lock()
+	for c := range p.connections {
+		_ = c.Close() // ends its reads
+	}
+	p.mu.Unlock()
+	p.serving.Wait()
+	return err
+}
+
+func (p *Peer) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.connections[c] = true
+		p.mu.Unlock()
+		p.serving.Go(func() {
+			p.serve(c.(*net.TCPConn))
+			p.mu.Lock()
+			delete(p.connections, c)
+			p.mu.Unlock()
+		})
+	}
+}
+
+func (p *Peer) serve(c *net.TCPConn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.requests++
+		p.mu.Unlock()
+		answer := p.answer(request)
+		if !answer.Early {
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+		}
+		if _, err := io.WriteString(c, answer.Bytes); err != nil {
+			return
+		}
+		time.Sleep(answer.Delay)
+		if answer.End != PeerKeeps {
+			p.end(c, answer.End)
+			return
+		}
+	}
+}
+
+// end ends a connection. An error means that the other side has closed it first.
+func (p *Peer) end(c *net.TCPConn, how PeerEnd) {
+	switch how {
+	case PeerCloses:
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	case PeerResets:
+		_ = c.SetLinger(0)
+	case PeerClosesUnread:
+		awaitInput(c)
+	case PeerClosesThenResets:
+		_ = c.CloseWrite()
+		time.Sleep(peerResetDelay)
+		_ = c.SetLinger(0)
+	case PeerClosesAndStalls:
+		_ = c.CloseWrite()
+		<-p.closed
+	case PeerStalls:
+		<-p.closed
+	}
+}
+
+// awaitInput waits until bytes have arrived on a connection, and does not read them.
+func awaitInput(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	var b [1]byte
+	_ = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+}
--- a/persister/gateway.go
+++ b/persister/gateway.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"laburnumline/framer"
 	"laburnumline/recorder"
 )
 
@@ -95,7 +96,7 @@
 		}
 		g.baseURLs = append(g.baseURLs, scheme+e.String())
 	}
-	g.client = &http.Client{Transport: newTransport(c.TLS, g.timeout)}
+	g.client = &http.Client{Transport: framer.NewTransport(newTransport(c.TLS, g.timeout))}
 	return g, nil
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -30,6 +30,7 @@
 
 	"laburnumline/combiner"
 	"laburnumline/contractor"
+	"laburnumline/framer"
 	"laburnumline/persister"
 	"laburnumline/recorder"
 )
@@ -111,9 +112,9 @@
 	}
 	return &Store{
 		config: c, backoffs: make(map[netip.AddrPort]backoff), sessions: make(map[netip.AddrPort]relaySession),
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: framer.NewTransport(&http.Transport{
 			DialContext: c.Dial, DisableCompression: true, MaxIdleConnsPerHost: idleConnections, MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		})},
 	}
 }
 
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -144,10 +144,10 @@
 
 // client keeps connections open, which means that requests are also sent on connections to
 // processes that end.
-var client = &http.Client{Transport: &http.Transport{
+var client = &http.Client{Transport: framer.NewTransport(&http.Transport{
 	DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 	MaxIdleConnsPerHost: callerCount, DisableCompression: true,
-}}
+})}
 
 // completeResponses returns the bodies that complete the response to an attempt: one for each
 // software version that may have begun the stream.
