dispatcher: a call counts as sent from the start of its write

Such a call is sent again, and a call that may not be repeated runs twice; any answer that fails as fast does the same, for example one that is cut off. Cause: bytes were counted when Write had returned; the answer may arrive and fail before. Now they count from the start of the Write, and what was not written is taken back.

--- a/dispatcher/conn.go
+++ b/dispatcher/conn.go
@@ -14,15 +14,17 @@
 )
 
 // countingConn counts the bytes written to the kernel. The count distinguishes
-// a call that was never sent from one that may have been executed.
+// a call that was never sent from one that may have been executed. The bytes of
+// a Write count from its start, because the peer may answer before it returns.
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
+	c.written.Add(int64(n - len(p)))
 	return n, err
 }
 
