framer, connector, dispatcher: a status that HTTP does not have is no response

Callers could get the body of an answer as an answer: an upstream in trouble sent status 000. Cause: what a status means was decided in each reader. connector took each status below 200 for that of an interim response and read on, so that the body of an answer with status 000 was parsed as the next one; dispatcher, the delegator and the operators' client handed such a status on, and all of them one above 599. http.ReadResponse accepts any three digits. Handled before, tests kept: both clients of stores, the relay and the list of VMs (each takes 200 alone), engines, their load and cache events, and orders.

Change: framer.CheckHead, after the reading of each final response, by connector and by framer.Transport. Final responses are 200 to 599, interim ones 100 to 199 but 101, which no request asks for (RFC 9110, 15: others are invalid). What is refused fails as a head that can't be parsed did: it may have run, and is not run again unless its route allows it.

--- a/connector/response.go
+++ b/connector/response.go
@@ -100,9 +100,12 @@
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
+		if framer.IsInterim(response.StatusCode) {
 			continue
 		}
+		if err := framer.CheckHead(response); err != nil {
+			return err
+		}
 		metadata := r.pool.config.ReadMetadata(response.Header)
 		if metadata.IgnoredFigures > 0 {
 			r.pool.config.Recorder.Count("connector.load_figures_ignored", int64(metadata.IgnoredFigures))
--- a/delegator/broken_test.go
+++ b/delegator/broken_test.go
@@ -21,6 +21,12 @@
 		{"reset during the upload", emulator.PeerAnswer{Bytes: "HTTP/1.1 200 OK\r\n\r\nhalf", Early: true, Delay: time.Millisecond, End: emulator.PeerResets}},
 		{"closed with unread bytes", emulator.PeerAnswer{Bytes: "HTTP/1.1 200 OK\r\n\r\nhalf", Early: true, End: emulator.PeerClosesUnread}},
 	}
+	for _, tt := range emulator.StatusFaults(checkedHeader+": 1\r\n", "done") {
+		tests = append(tests, struct {
+			name   string
+			answer emulator.PeerAnswer
+		}{tt.Name, tt.PeerAnswer})
+	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			p, err := emulator.StartPeer(func(*http.Request) emulator.PeerAnswer { return tt.answer })
--- a/emulator/peer.go
+++ b/emulator/peer.go
@@ -173,3 +173,26 @@
 		return !errors.Is(err, syscall.EAGAIN)
 	})
 }
+
+// NamedAnswer is an answer of a Peer with a name for the cases of a test.
+type NamedAnswer struct {
+	Name string
+	PeerAnswer
+}
+
+// StatusFaults returns answers whose status is not that of a final response. Their other fields and their body are whole, and
+// a whole answer to the same request is what one of them has as its body.
+func StatusFaults(fields, body string) []NamedAnswer {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	whole := "HTTP/1.1 200 OK\r\n" + fields + length + "\r\n" + body
+	var faults []NamedAnswer
+	add := func(name, bytes string) {
+		faults = append(faults, NamedAnswer{name, PeerAnswer{Bytes: bytes, End: PeerCloses}})
+	}
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		add("status "+status, "HTTP/1.1 "+status+" Odd\r\n"+fields+length+"\r\n"+body)
+	}
+	add("status 000 before an answer", "HTTP/1.1 000 Odd\r\n"+fields+"\r\n"+whole)
+	add("status 000 without a length", "HTTP/1.1 000 Odd\r\n"+fields+"\r\n"+body)
+	return faults
+}
--- a/framer/conn.go
+++ b/framer/conn.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// Transport is an http.RoundTripper. The bodies of its responses end with io.EOF only if they are whole, or have ended in
-// order with their connection.
+// Transport is an http.RoundTripper. The heads of its responses are valid, and their bodies end with io.EOF only if they are
+// whole, or have ended in order with their connection.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that uses base, whose connections it checks from now on.
@@ -158,9 +158,18 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip makes one exchange.
+// RoundTrip makes one exchange. The error of a response with a malformed head is ErrMalformedHead, and the request may have
+// been executed then.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(request)
+	response, err := t.base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // NewClient returns a client with the settings of http.DefaultClient and a Transport. A timeout of zero means none.
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -1,4 +1,5 @@
-// Package framer tells where a response body ends and whether it is complete.
+// Package framer tells what is a response, where its body ends and whether it is complete. All readers of responses use it:
+// those of net/http have a Transport, others read from a Conn and call CheckHead.
 //
 // A body with a length or in chunks marks its own end. Any other body ends with its
 // connection, and a crash of the sender then looks like the end of the body. Only its
