--- a/emulator/peer.go
+++ b/emulator/peer.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -102,6 +103,11 @@
 		p.mu.Lock()
 		p.connections[c] = true
 		p.mu.Unlock()
+		select {
+		case <-p.closed: // Close may have passed the connection over
+			_ = c.Close()
+		default:
+		}
 		p.serving.Go(func() {
 			p.serve(c.(*net.TCPConn))
 			p.mu.Lock()
@@ -227,3 +233,20 @@
 	}
 	return faults
 }
+
+// CutAnswers returns answers of which only the first half of the body is sent. The last one ends as a whole one would whose
+// body is that half: only its content shows that it is cut.
+func CutAnswers(fields, body string) []NamedAnswer {
+	head, half := "HTTP/1.1 200 OK\r\n"+fields, body[:len(body)/2]
+	return []NamedAnswer{
+		{"cut, stated length", PeerAnswer{Bytes: head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + half, End: PeerCloses}},
+		{"cut, in chunks", PeerAnswer{Bytes: head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(half), half), End: PeerCloses}},
+		{"cut, reset", PeerAnswer{Bytes: head + "\r\n" + half, End: PeerResets}},
+		{"cut, orderly end", PeerAnswer{Bytes: head + "\r\n" + half, End: PeerCloses}},
+	}
+}
+
+// FaultyAnswers returns all answers that a reader of documents and streams must not take for whole ones.
+func FaultyAnswers(fields, body string) []NamedAnswer {
+	return slices.Concat(StatusFaults(fields, body), FieldFaults(fields, body), CutAnswers(fields, body))
+}
