framer, connector: a line of a head that begins with a blank makes it malformed

Callers got answers in whose head the name of a field has a blank or a tab before it: with that line in the value of the field before it, or, if the line held the length, with a body that was not the upstream's. Cause: net/http takes such a line for the continuation of the one before it and joins the two (obs-fold); it is not seen in the fields that it returns. Change: framer.Conn scans the bytes of a head as they arrive (headScanner), connector and framer.Transport tell it when a head is due, and Conn.CheckHead refuses a final response with such a line, which RFC 9112, 5.2 leaves to a gateway. Lines of bodies and of interim responses are none.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -167,6 +167,11 @@
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
 	c.readingHead = true
 	defer func() { c.readingHead = false }()
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.ExpectHead(buffered)
 	return http.ReadResponse(c.reader, request)
 }
 
--- a/connector/response.go
+++ b/connector/response.go
@@ -103,7 +103,7 @@
 		if framer.IsInterim(response.StatusCode) {
 			continue
 		}
-		if err := framer.CheckHead(response); err != nil {
+		if err := r.connection.CheckHead(response); err != nil {
 			return err
 		}
 		metadata := r.pool.config.ReadMetadata(response.Header)
--- a/emulator/peer.go
+++ b/emulator/peer.go
@@ -209,11 +209,15 @@
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	faults := []NamedAnswer{
 		{"blank before the colon of a length", PeerAnswer{Bytes: status + fields + fmt.Sprintf("Content-Length : %d\r\n\r\n", len(body)) + body + "more", End: PeerCloses}},
+		{"blank before the name of a length", PeerAnswer{Bytes: status + fields + fmt.Sprintf("X-One: 1\r\n Content-Length: %d\r\n\r\n", len(body)) + body + "more", End: PeerCloses}},
 		{"blank before the colon of an encoding", PeerAnswer{
 			Bytes: status + fields + fmt.Sprintf("Transfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body), End: PeerCloses,
 		}},
 	}
 	lines := []struct{ name, line string }{
+		{"blank before a name", "X-One: 1\r\n X-Odd: 1"},
+		{"tab before a name", "X-One: 1\r\n\tX-Odd: 1"},
+		{"blank before a name, line feeds", "X-One: 1\n X-Odd: 1"},
 		{"blank in a name", "X Odd: 1"},
 		{"blank before a colon", "X-Odd : 1"},
 		{"tab in a name", "X\tOdd: 1"},
--- a/framer/conn.go
+++ b/framer/conn.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +31,9 @@
 	writing sync.Mutex
 	// failure is the first error of the socket that shows that the connection did not end in order.
 	failure atomic.Pointer[syscall.Errno]
+
+	mu   sync.Mutex
+	head headScanner // guarded by mu
 }
 
 // Wrap makes c the Conn of a connection that was just opened.
@@ -41,6 +46,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += uint64(n)
+	c.scanHead(p[:n])
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
@@ -62,6 +68,31 @@
 	return n, err
 }
 
+// ExpectHead is called before the head of a response is read. The buffered bytes are those of it that were read before.
+func (c *Conn) ExpectHead(buffered []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headScanner{active: true, empty: true}
+	c.head.scan(buffered)
+}
+
+func (c *Conn) scanHead(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.scan(b)
+}
+
+// CheckHead is the function of that name for a response of this connection whose head was expected. It also returns
+// ErrMalformedHead if a line begins with a blank.
+func (c *Conn) CheckHead(r *http.Response) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.folded {
+		return fmt.Errorf("%w: a line begins with a blank", ErrMalformedHead)
+	}
+	return CheckHead(r)
+}
+
 // recordFailure keeps an error of the socket. EPIPE is none: it says that the connection can't be written to, which is also
 // so after an orderly end that a reset has followed. Neither is an error of this process, such as a deadline.
 func (c *Conn) recordFailure(err error) {
@@ -161,11 +192,23 @@
 // RoundTrip makes one exchange. The error of a response with a malformed head is ErrMalformedHead, and the request may have
 // been executed then.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.base.RoundTrip(request)
+	var conn atomic.Pointer[Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c, _ := info.Conn.(*Conn) // below TLS, the bytes of a connection are no head
+		if c != nil {
+			c.ExpectHead(nil)
+		}
+		conn.Store(c)
+	}}
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(response); err != nil {
+	check := CheckHead
+	if c := conn.Load(); c != nil {
+		check = c.CheckHead
+	}
+	if err := check(response); err != nil {
 		response.Body.Close()
 		return nil, err
 	}
